--- /dev/null
+++ b/src/cmake/libraries.cmake
@@ -0,0 +1,13 @@
+find_package(Poco REQUIRED COMPONENTS Foundation Net JSON Util)
+find_package(Boost REQUIRED)
+find_package(GTest REQUIRED)
+find_package(rapidcheck REQUIRED)
+find_package(Threads REQUIRED)
+find_library(THRIFT_LIBRARY thrift REQUIRED)
+find_library(DOCOPT_LIBRARY docopt REQUIRED)
+find_path(EASYLOGGING_FOLDER easylogging++.cc REQUIRED)
+
+# easylogging++ is shipped as a source file.
+add_library(easylogging STATIC ${EASYLOGGING_FOLDER}/easylogging++.cc)
+target_compile_definitions(easylogging PUBLIC ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE ELPP_DISABLE_DEFAULT_CRASH_HANDLING)
+target_include_directories(easylogging SYSTEM PUBLIC ${EASYLOGGING_FOLDER})
--- /dev/null
+++ b/src/include/peridotcleat/agent.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "peridotcleat/node_link.h"
+#include "peridotcleat/request_table.h"
+#include "peridotcleat/route_table.h"
+
+namespace peridotcleat {
+
+/// Settings of an agent.
+struct agent_settings {
+    node_link_settings link;
+    request_settings requests;
+    std::chrono::milliseconds idle_timeout{3600000};
+    std::chrono::milliseconds handover_timeout{5000};
+};
+
+/// Figures of an agent for status and load reports.
+struct agent_status {
+    incarnation id;
+    std::size_t flows = 0;
+    std::size_t directory_entries = 0;
+    std::size_t requests_in_progress = 0;
+    bool draining = false;
+    bool empty = false;
+};
+
+/// The role beside one upstream: holds its flows, owns buckets, admits requests. Not thread-safe.
+class agent {
+public:
+    /// Fails with `invalid_setting`.
+    static result<agent> create(agent_settings settings, counters& counted);
+
+    /// The upstream announces itself, or announces that it drains.
+    void on_upstream_offer(time_point now, const target_offer& offer, outbox& out);
+    void on_upstream_draining(time_point now, outbox& out);
+    void on_upstream_result(time_point now, const upstream_result& r, outbox& out);
+    /// Pushes bytes over an open flow. Fails with `flow_unknown` or `queue_full`.
+    result<success> push(time_point now, flow_token token, std::string bytes, outbox& out);
+    /// Handles all messages between processes.
+    void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
+    void on_tick(time_point now, outbox& out);
+    /// Starts a graceful stop: drains, finishes requests, then reports empty.
+    void begin_stop(time_point now, outbox& out);
+
+    /// True once a graceful stop may end the process without cutting off anything.
+    [[nodiscard]] bool may_stop(time_point now) const;
+    [[nodiscard]] agent_status status() const;
+    [[nodiscard]] const node_link& link() const noexcept;
+};
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/include/peridotcleat/log.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace peridotcleat {
+
+/// Levels of log lines, in order of severity.
+enum class log_level : std::uint8_t { debug, info, warning, error };
+
+/// One key and value of a log line.
+struct log_field {
+    std::string_view key;
+    std::string value;
+
+    /// Creates a field from text.
+    log_field(std::string_view k, std::string v) : key(k), value(std::move(v)) {}
+    /// Creates a field from text.
+    log_field(std::string_view k, const char* v) : key(k), value(v) {}
+    /// Creates a field from text.
+    log_field(std::string_view k, std::string_view v) : key(k), value(v) {}
+    /// Creates a field from an integer.
+    log_field(std::string_view k, std::int64_t v) : key(k), value(std::to_string(v)) {}
+};
+
+/// Sets up logging of the process to standard error. `node` is added to each line.
+void start_logging(std::string_view node, log_level lowest);
+
+/// Writes one line `time level event=<event> node=<node> key=value ...`. Thread-safe.
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/include/peridotcleat/outbox.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "peridotcleat/message.h"
+
+namespace peridotcleat {
+
+/// Sends `body` to the process at `to`.
+struct send_action {
+    endpoint to;
+    message body;
+};
+
+/// Sends a payload to the caller of a flow, from the service address.
+struct caller_reply {
+    flow_key key;
+    caller_message body;
+};
+
+/// Names one request at its target.
+struct request_name {
+    flow_token token;
+    std::int64_t sequence = 0;
+
+    auto operator<=>(const request_name&) const = default;
+};
+
+/// Starts a request at the upstream. The host answers with `upstream_result` exactly once.
+struct upstream_call {
+    request_name name;
+    bool idempotent = false;
+    std::chrono::milliseconds remaining{0};
+    std::string method;
+    std::string body;
+};
+
+/// Asks the upstream to stop working on a request.
+struct upstream_cancel {
+    request_name name;
+};
+
+/// What became of an `upstream_call`.
+struct upstream_result {
+    request_name name;
+    /// `ok`, `upstream_unreachable` and `shed_by_upstream` (proof that it did not run),
+    /// `upstream_failed` (ran and failed) or `outcome_unknown`.
+    error_code code = error_code::ok;
+    std::string body;
+};
+
+/// Collects the actions of a role in the order in which they were decided.
+struct outbox {
+    std::vector<send_action> sends;
+    std::vector<caller_reply> replies;
+    std::vector<upstream_call> calls;
+    std::vector<upstream_cancel> cancels;
+
+    /// Appends a message to another process.
+    void send(const endpoint& to, message body) { sends.push_back({to, std::move(body)}); }
+    /// Appends a payload to a caller.
+    void reply(const flow_key& key, caller_message body) { replies.push_back({key, std::move(body)}); }
+    /// Removes all actions and keeps the capacity.
+    void clear() noexcept
+    {
+        sends.clear();
+        replies.clear();
+        calls.clear();
+        cancels.clear();
+    }
+};
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/include/peridotcleat/route_table.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "peridotcleat/hash.h"
+#include "peridotcleat/table_state.h"
+
+namespace peridotcleat {
+
+/// A target as the data path sees it.
+struct route_target {
+    incarnation id;
+    endpoint agent;
+    std::uint32_t weight = 1;
+    bool draining = false;
+};
+
+/// Targets and bucket owners of one service. Immutable.
+struct service_routes {
+    service_id service;
+    /// All targets in order of incarnation, draining ones included.
+    std::vector<route_target> targets;
+    /// Index into `targets` of each bucket's owner; valid if `has_owner`.
+    std::array<std::uint16_t, bucket_count> owners{};
+    /// False if no target is active.
+    bool has_owner = false;
+
+    /// Returns the index of target `id`, if it is in the table.
+    [[nodiscard]] std::optional<std::size_t> index_of(incarnation id) const noexcept;
+    /// Returns the active target other than `owner` that is the second candidate of a flow, if any.
+    [[nodiscard]] std::optional<std::size_t> second_candidate(std::uint64_t flow_hash,
+                                                              incarnation owner) const noexcept;
+};
+
+/// Routes of all services, derived from a table. Immutable once built; lookups allocate nothing.
+class route_table {
+public:
+    /// Derives all routes.
+    static std::shared_ptr<const route_table> build(const table_state& table);
+    /// Derives the routes of `touched` services and shares the others with `previous`.
+    static std::shared_ptr<const route_table> rebuild(const route_table& previous, const table_state& table,
+                                                      const std::vector<service_id>& touched);
+
+    /// Returns the routes of the service that owns `address`, or null.
+    [[nodiscard]] const service_routes* find(const endpoint& address) const noexcept;
+    /// Returns the routes of `service`, or null.
+    [[nodiscard]] const service_routes* find(service_id service) const noexcept;
+    [[nodiscard]] revision at() const noexcept { return at_; }
+    /// Digest over all owners, equal on all nodes that hold the same table.
+    [[nodiscard]] std::uint64_t digest() const noexcept;
+
+private:
+    revision at_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<const service_routes>> by_address_;
+    std::unordered_map<service_id, std::shared_ptr<const service_routes>, id_hash> by_service_;
+};
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/process/distribution.cpp
@@ -0,0 +1,65 @@
+#include "peridotcleat/distribution.h"
+
+#include <boost/histogram.hpp>
+#include <mutex>
+
+namespace peridotcleat {
+
+namespace {
+
+using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+using histogram = decltype(boost::histogram::make_histogram(std::declval<axis>()));
+
+}  // namespace
+
+struct distribution::impl {
+    mutable std::mutex mutex;
+    histogram bins;
+    std::uint64_t total = 0;
+};
+
+distribution::distribution(double low, double high, unsigned bins)
+    : impl_(new impl{{}, boost::histogram::make_histogram(axis(bins, low, high)), 0})
+{
+}
+
+distribution::~distribution() = default;
+
+void distribution::record(double value)
+{
+    const std::scoped_lock lock(impl_->mutex);
+    impl_->bins(value);
+    ++impl_->total;
+}
+
+void distribution::record(std::chrono::microseconds value)
+{
+    record(static_cast<double>(value.count()) / 1000.0);
+}
+
+std::uint64_t distribution::count() const
+{
+    const std::scoped_lock lock(impl_->mutex);
+    return impl_->total;
+}
+
+double distribution::quantile(double q) const
+{
+    const std::scoped_lock lock(impl_->mutex);
+    if (impl_->total == 0) {
+        return 0;
+    }
+    const double wanted = q * static_cast<double>(impl_->total);
+    double seen = 0;
+    double edge = 0;
+    for (auto&& bin : boost::histogram::indexed(impl_->bins, boost::histogram::coverage::all)) {
+        seen += static_cast<double>(*bin);
+        edge = bin.bin().upper();
+        if (seen >= wanted) {
+            break;
+        }
+    }
+    return edge;
+}
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/proto/peridotcleat.thrift
@@ -0,0 +1,490 @@
+// Messages between the processes of peridotcleat, and the payload structs that callers use.
+//
+// Each datagram is a `header` followed by the struct that `header.kind` names. Fields are only ever
+// added; a kind number is never reused. Times are in milliseconds, endpoints are IPv4.
+
+namespace cpp peridotcleat.wire
+
+struct header {
+  1: required i16 protocol
+  2: required i16 kind
+  3: required i64 cluster
+}
+
+struct endpoint {
+  1: required i32 address
+  2: required i16 port
+}
+
+struct flow_key {
+  1: required i32 source_address
+  2: required i16 source_port
+  3: required i32 destination_address
+  4: required i16 destination_port
+  5: required i8 protocol
+}
+
+// ---- Objects of the replicated table -------------------------------------------------------------
+
+// One service. `revision` fields hold the revision of the entry that last modified the object.
+struct service_entry {
+  1: required i64 id
+  2: required string name
+  3: required list<endpoint> addresses
+  4: required i64 revision
+  5: optional i32 idle_timeout_ms
+  6: optional i32 queue_per_slot
+  7: optional i32 ramp_ms
+  8: optional i32 retry_percent
+  9: optional i32 placement     // 0: two candidates by load, 1: owner only
+}
+
+// One upstream with the agent beside it. `incarnation` is the revision of the join entry.
+struct target {
+  1: required i64 incarnation
+  2: required i64 service_id
+  3: required endpoint agent
+  4: required string zone
+  5: required i32 slots
+  6: required i32 connections
+  7: required bool draining
+  8: required i64 nonce
+  9: required string name
+  10: required i64 revision
+}
+
+// One registered balancer. `incarnation` is the revision of the join entry.
+struct node {
+  1: required i64 incarnation
+  2: required string name
+  3: required string zone
+  4: required endpoint control
+  5: required i64 nonce
+  6: required i64 revision
+}
+
+// One removed object. `kind`: 1 service, 2 target, 3 node.
+struct tombstone {
+  1: required i8 kind
+  2: required i64 id
+  3: required i64 revision
+}
+
+// An address that no service other than its former one may take before `until_ms`.
+struct quarantine {
+  1: required endpoint address
+  2: required i64 service_id
+  3: required i64 until_ms
+}
+
+// The answer that an accepted patch got.
+struct patch_record {
+  1: required string patch_id
+  2: required i64 config_version
+  3: required i64 revision
+  4: required i64 digest        // of the patch's content, so that a reused id with other content is refused
+  5: optional string summary
+  6: optional i64 time_ms
+}
+
+// ---- Log entries ----------------------------------------------------------------------------------
+
+// `kind`: 1 add service, 2 change service, 3 remove service (only `name` counts).
+struct patch_operation {
+  1: required i8 kind
+  2: required string name
+  3: optional service_entry value     // id and revision are ignored
+}
+
+struct patch {
+  1: required string patch_id
+  2: required i64 base
+  3: required list<patch_operation> operations
+}
+
+struct target_join {
+  1: required target value      // incarnation and revision are set on apply
+  2: optional i64 replaces      // incarnation of the same agent's former start
+}
+
+struct node_join {
+  1: required node value
+  2: optional i64 replaces
+}
+
+// One change of the table; exactly one field besides `time_ms` is set.
+struct change {
+  1: required i64 time_ms
+  2: optional patch new_patch
+  3: optional target_join join_target
+  4: optional i64 drain_target
+  5: optional i64 leave_target
+  6: optional node_join join_node
+  7: optional i64 leave_node
+}
+
+// `kind`: 0 no-op, 1 change, 2 members of control.
+struct log_entry {
+  1: required i64 index
+  2: required i64 term
+  3: required i8 kind
+  4: required binary data
+}
+
+struct member {
+  1: required i64 folder_id     // identity of the data folder, new after the disk is lost
+  2: required string name
+  3: required endpoint address
+  4: required bool voter
+}
+
+struct member_list {
+  1: required list<member> members
+}
+
+// Whole replicated state of control at `revision`.
+struct table_snapshot {
+  1: required i64 revision
+  2: required i64 config_version
+  3: required i64 horizon       // tombstones older than this revision are gone
+  4: required i64 next_service
+  5: required list<service_entry> services
+  6: required list<target> targets
+  7: required list<node> nodes
+  8: required list<tombstone> tombstones
+  9: required list<patch_record> patches
+  10: required list<quarantine> quarantined
+}
+
+// ---- Data path (kinds 1 to 19) ---------------------------------------------------------------------
+
+// Fabric to balancer: one packet of a caller.
+struct caller_packet {
+  1: required flow_key key
+  2: required binary payload
+}
+
+// Agent to fabric: one packet to a caller, sent from the service address.
+struct return_packet {
+  1: required flow_key key      // as the caller sent it; the fabric swaps the ends
+  2: required binary payload
+}
+
+// Balancer to agent, or agent to agent.
+struct forwarded_packet {
+  1: required flow_key key
+  2: required i64 service_id
+  3: required i64 revision
+  4: required i64 incarnation   // the target that shall take the packet
+  5: required i8 hops
+  6: required endpoint balancer // where a stale_notice goes
+  7: required binary payload
+}
+
+// Tells a node that packets it sends carry an old revision.
+struct stale_notice {
+  1: required i64 revision
+}
+
+// New owner of buckets to every target of the service.
+struct bucket_query {
+  1: required i64 service_id
+  2: required i64 revision
+  3: required i64 owner         // incarnation
+  4: required endpoint reply_to
+  5: required binary buckets    // 32 bytes, one bit a bucket
+  6: required i64 query_id
+}
+
+struct bucket_report {
+  1: required i64 service_id
+  2: required i64 revision
+  3: required i64 holder        // incarnation
+  4: required i64 query_id
+  5: required i16 page
+  6: required i16 pages
+  7: required list<flow_key> flows
+  8: required i64 load_permille // flows held per weight, times 1000
+}
+
+struct place_offer {
+  1: required flow_key key
+  2: required i64 service_id
+  3: required i64 revision
+  4: required i64 owner
+  5: required endpoint reply_to
+  6: required i64 holder        // incarnation that is asked
+  7: required i64 load_permille // of the owner
+  8: required binary payload    // the opening packet
+  9: required endpoint balancer
+}
+
+struct place_reply {
+  1: required flow_key key
+  2: required i64 service_id
+  3: required i64 holder
+  4: required bool accepted
+  5: required i16 reason
+  6: required i64 load_permille
+}
+
+struct flow_closed {
+  1: required flow_key key
+  2: required i64 service_id
+  3: required i64 holder
+}
+
+struct load_report {
+  1: required i64 service_id
+  2: required i64 holder
+  3: required i64 load_permille
+}
+
+// The holder that a directory named does not hold the flow.
+struct flow_unknown {
+  1: required flow_key key
+  2: required i64 service_id
+  3: required i64 holder
+}
+
+// ---- Control (kinds 40 to 79) -----------------------------------------------------------------------
+
+struct vote_request {
+  1: required bool pre_vote
+  2: required i64 term
+  3: required i64 candidate     // folder id
+  4: required i64 last_index
+  5: required i64 last_term
+}
+
+struct vote_reply {
+  1: required bool pre_vote
+  2: required i64 term
+  3: required i64 voter         // folder id
+  4: required bool granted
+}
+
+struct append_request {
+  1: required i64 term
+  2: required i64 leader        // folder id
+  3: required i64 previous_index
+  4: required i64 previous_term
+  5: required i64 commit
+  6: required i64 round         // heartbeat round, for the leader's lease and quorum reads
+  7: required list<log_entry> entries
+}
+
+struct append_reply {
+  1: required i64 term
+  2: required i64 follower      // folder id
+  3: required bool success
+  4: required i64 match         // last index known to agree, or a hint where to go back to
+  5: required i64 round
+}
+
+struct snapshot_chunk {
+  1: required i64 term
+  2: required i64 leader
+  3: required i64 last_index
+  4: required i64 last_term
+  5: required i64 offset
+  6: required i64 total
+  7: required binary data
+  8: required i64 round
+  9: required member_list members
+}
+
+struct snapshot_reply {
+  1: required i64 term
+  2: required i64 follower
+  3: required i64 last_index
+  4: required i64 next_offset
+  5: required i64 round
+}
+
+// A control process with a new data folder asks to become a member.
+struct join_request {
+  1: required member candidate
+  2: required i64 replaces      // folder id of the former folder of the same name, 0 if none
+}
+
+// Position in a difference: objects are ordered by (revision, kind, id).
+struct cursor {
+  1: required i64 revision
+  2: required i8 kind           // 0: everything of `revision` is held
+  3: required i64 id
+}
+
+struct pull_request {
+  1: required i64 node          // incarnation, 0 before the join
+  2: required i64 nonce         // of this start of the process
+  3: required i64 revision      // applied
+  4: required cursor position   // held, staged pages included
+  5: required bool full         // the staged pages belong to a full table
+  6: required i64 digest        // of the applied table
+}
+
+struct table_page {
+  1: required i64 revision      // of the sender's table
+  2: required i64 config_version
+  3: required bool full         // start from an empty table
+  4: required cursor start
+  5: required cursor position   // after this page
+  6: required bool complete
+  7: required i64 digest        // of the sender's table, valid when complete
+  8: required list<service_entry> services
+  9: required list<target> targets
+  10: required list<node> nodes
+  11: required list<tombstone> tombstones
+}
+
+struct pull_reply {
+  1: required i64 nonce
+  2: required i32 age_ms        // since the sender heard of a leader with a quorum
+  3: required table_page page
+}
+
+struct change_notice {
+  1: required i64 revision
+}
+
+// Agent or balancer asks for a place in the table; passed on to the leader by relays.
+struct announce {
+  1: required i64 nonce
+  2: required i8 role           // 1 target, 2 balancer
+  3: required string name
+  4: required string zone
+  5: required endpoint address
+  6: required endpoint reply_to
+  7: optional string service_name
+  8: optional i32 slots
+  9: optional i32 connections
+  10: required i8 state         // 0 active, 1 draining, 2 empty and leaving
+  11: required i8 hops
+}
+
+struct announce_reply {
+  1: required i64 nonce
+  2: required i64 incarnation   // 0 if refused or not yet known
+  3: required i32 code          // error_code, 0 if joined
+  4: required i64 revision
+  5: required i32 retry_after_ms
+}
+
+struct child_report {
+  1: required i64 node          // incarnation
+  2: required i64 revision
+  3: required i32 silent_ms
+}
+
+// Relay to its parent: the children whose state changed since the last acknowledged report.
+struct relay_report {
+  1: required i64 relay         // incarnation
+  2: required i64 nonce
+  3: required i64 sequence
+  4: required bool full
+  5: required list<child_report> children
+  6: required i64 lowest_revision
+  7: required i32 live_children
+}
+
+struct relay_report_reply {
+  1: required i64 nonce
+  2: required i64 sequence
+  3: required bool send_full
+}
+
+// ---- Caller payload (kinds 20 to 39) ----------------------------------------------------------------
+
+struct flow_open {
+  1: required i64 nonce
+}
+
+struct flow_open_ack {
+  1: required i64 nonce
+  2: required i64 incarnation
+  3: required i64 token
+}
+
+struct flow_refused {
+  1: required i64 nonce
+  2: required i16 reason
+}
+
+struct request {
+  1: required i64 incarnation
+  2: required i64 token
+  3: required i64 sequence
+  4: required i64 settled_below
+  5: required bool idempotent
+  6: required i32 remaining_ms
+  7: required string method
+  8: required binary body
+}
+
+struct response_part {
+  1: required i64 token
+  2: required i64 sequence
+  3: required i32 index
+  4: required i32 count
+  5: required i64 total_length
+  6: required i64 checksum
+  7: required binary bytes
+}
+
+// `status`: 1 not run, 2 failed, 3 outcome unknown.
+struct request_result {
+  1: required i64 token
+  2: required i64 sequence
+  3: required i8 status
+  4: required i16 reason
+}
+
+struct part_request {
+  1: required i64 token
+  2: required i64 sequence
+  3: required list<i32> missing
+}
+
+struct request_cancel {
+  1: required i64 incarnation
+  2: required i64 token
+  3: required i64 sequence
+}
+
+struct flow_close {
+  1: required i64 incarnation
+  2: required i64 token
+}
+
+struct flow_close_ack {
+  1: required i64 token
+}
+
+// The flow does not exist. `incarnation` is the target that answers.
+struct flow_reset {
+  1: required i64 incarnation
+  2: required i64 token
+}
+
+// Upstream to caller over an open flow; resent until acknowledged, delivered once and in order.
+struct push {
+  1: required i64 token
+  2: required i64 sequence
+  3: required binary bytes
+}
+
+struct push_ack {
+  1: required i64 token
+  2: required i64 sequence
+}
+
+// Keeps the flow from idling out; answered with the same struct.
+struct flow_keepalive {
+  1: required i64 token
+}
+
+// Asks the caller to open its next requests on a new flow, because the target is draining.
+struct flow_draining {
+  1: required i64 token
+}
