Define the storage of easylogging++ beside its source

Cause: under the sanitizers the linker took easylogging++ for other symbols without its storage. Change: the storage is compiled into the same archive.

--- /dev/null
+++ b/src/cmake/easylogging_storage.cpp
@@ -0,0 +1,3 @@
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP  // NOLINT
--- a/src/cmake/libraries.cmake
+++ b/src/cmake/libraries.cmake
@@ -7,7 +7,7 @@
 find_library(DOCOPT_LIBRARY docopt REQUIRED)
 find_path(EASYLOGGING_FOLDER easylogging++.cc REQUIRED)
 
-# easylogging++ is shipped as a source file.
-add_library(easylogging STATIC ${EASYLOGGING_FOLDER}/easylogging++.cc)
+# easylogging++ is shipped as a source file, and wants its storage defined once in each program.
+add_library(easylogging STATIC ${EASYLOGGING_FOLDER}/easylogging++.cc ${CMAKE_CURRENT_LIST_DIR}/easylogging_storage.cpp)
 target_compile_definitions(easylogging PUBLIC ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE ELPP_DISABLE_DEFAULT_CRASH_HANDLING)
 target_include_directories(easylogging SYSTEM PUBLIC ${EASYLOGGING_FOLDER})
