--- /dev/null
+++ b/src/include/peridotcleat/daemon.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "peridotcleat/admin_server.h"
+#include "peridotcleat/counters.h"
+#include "peridotcleat/event_loop.h"
+#include "peridotcleat/log.h"
+#include "peridotcleat/node_link.h"
+#include "peridotcleat/settings.h"
+
+namespace peridotcleat {
+
+/// Settings that all daemons share.
+struct daemon_settings {
+    std::string name;
+    std::string zone;
+    endpoint listen;
+    endpoint admin;
+    cluster_id cluster;
+    log_level lowest = log_level::info;
+    std::uint64_t seed = 0;
+    /// Validate the settings and exit.
+    bool check = false;
+};
+
+/// Lines for a daemon's docopt text that describe the shared settings.
+extern const char* const daemon_options;
+
+/// Reads the shared settings; errors are recorded in `s`.
+daemon_settings read_daemon_settings(settings& s);
+
+/// Parses the command line, runs `body` and returns the exit code: 0, 1 (failed) or 2 (bad settings, all of
+/// which are printed to standard error).
+int run_daemon(int argc, char** argv, const std::string& usage, const std::string& program,
+               int (*body)(settings& s));
+
+/// Renders counters as a JSON object.
+std::string to_json(const counters& counted);
+
+/// Fills the part of a node link's settings that follows from the daemon's.
+node_link_settings link_settings(const daemon_settings& d, node_role role, std::vector<endpoint> parents);
+
+/// Prints an error as `error=<number> name=<name> <message>` to standard error and returns 1.
+int report_failure(const error& e);
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/include/peridotcleat/forwarder.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "peridotcleat/balancer.h"
+
+namespace peridotcleat {
+
+/// The data path of a balancer: worker threads that share one socket and one immutable route table.
+///
+/// Workers take no lock: each keeps its own reference to the route table and fetches a new one when the
+/// generation has changed. `set_routes` and `stop` are thread-safe.
+class forwarder {
+public:
+    /// Binds `data` and starts `workers` threads. `control` is put into packets for stale_notice.
+    /// Fails with `address_in_use`.
+    static result<std::unique_ptr<forwarder>> start(const endpoint& data, const endpoint& control,
+                                                    cluster_id cluster, unsigned workers, counters& counted);
+    ~forwarder();
+    forwarder(const forwarder&) = delete;
+    forwarder& operator=(const forwarder&) = delete;
+    forwarder(forwarder&&) = delete;
+    forwarder& operator=(forwarder&&) = delete;
+
+    /// Puts a new route table in force for all workers; packets are dropped and counted while it is null.
+    void set_routes(std::shared_ptr<const route_table> routes);
+    /// Ends the workers after the packet in hand.
+    void stop();
+
+private:
+    struct impl;
+    explicit forwarder(std::unique_ptr<impl> state);
+    std::unique_ptr<impl> impl_;
+};
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/connection/forwarder.cpp
@@ -0,0 +1,162 @@
+#include "peridotcleat/forwarder.h"
+
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+#include <mutex>
+#include <string>
+#include <utility>
+
+#include "peridotcleat/log.h"
+#include "peridotcleat/net_address.h"
+
+namespace peridotcleat {
+
+namespace {
+
+constexpr int socket_buffer_bytes = 8 << 20;
+// Workers look at the stop flag this often when there is no traffic.
+constexpr std::chrono::milliseconds receive_timeout{100};
+
+}  // namespace
+
+struct forwarder::impl {
+    Poco::Net::DatagramSocket socket;
+    endpoint control;
+    cluster_id cluster;
+    counters* counted = nullptr;
+    std::atomic<bool> stopping{false};
+    std::atomic<std::uint64_t> generation{0};
+    // Guards `routes`; workers take it only when the generation has changed.
+    std::mutex mutex;
+    std::shared_ptr<const route_table> routes;
+    std::vector<std::thread> threads;
+
+    std::shared_ptr<const route_table> fetch()
+    {
+        const std::scoped_lock lock(mutex);
+        return routes;
+    }
+
+    void work();
+};
+
+namespace {
+
+// Buffers of one worker, reused for each packet.
+struct packet_buffers {
+    std::array<char, max_datagram> in{};
+    std::string out;
+    message forwarded{wire::forwarded_packet{}};
+};
+
+// Fills the forwarded packet from the caller's; returns why the packet has to be dropped, or `ok`.
+error_code prepare(const route_table& routes, wire::caller_packet& packet, const endpoint& control,
+                   wire::forwarded_packet& forwarded, route_decision& decision)
+{
+    const error_code code = route(routes, from_wire(packet.key), decision);
+    if (code != error_code::ok) {
+        return code;
+    }
+    forwarded.key = packet.key;
+    forwarded.service_id = decision.service.value;
+    forwarded.revision = decision.at.value;
+    forwarded.incarnation = decision.owner.value;
+    forwarded.hops = 0;
+    forwarded.balancer = to_wire(control);
+    forwarded.payload.swap(packet.payload);
+    return error_code::ok;
+}
+
+}  // namespace
+
+void forwarder::impl::work()
+{
+    packet_buffers b;
+    std::shared_ptr<const route_table> current = fetch();
+    std::uint64_t seen = generation.load(std::memory_order_acquire);
+    while (!stopping.load(std::memory_order_relaxed)) {
+        try {
+            const int n = socket.receiveBytes(b.in.data(), static_cast<int>(b.in.size()));
+            if (const auto g = generation.load(std::memory_order_acquire); g != seen) {
+                seen = g;
+                current = fetch();
+            }
+            counted->add(event::packets_in);
+            auto decoded = decode(cluster, {b.in.data(), static_cast<std::size_t>(std::max(n, 0))});
+            if (!has_value(decoded)) {
+                counted->refuse(failure(decoded).code);
+                continue;
+            }
+            auto* packet = std::get_if<wire::caller_packet>(&value(decoded));
+            if (packet == nullptr) {
+                counted->refuse(error_code::message_unknown_kind);
+                continue;
+            }
+            route_decision decision;
+            const error_code code =
+                current ? prepare(*current, *packet, control, std::get<wire::forwarded_packet>(b.forwarded), decision)
+                        : error_code::no_target;
+            if (code != error_code::ok) {
+                counted->add(event::packets_dropped);
+                counted->refuse(code);
+                continue;
+            }
+            encode_into(cluster, b.forwarded, b.out);
+            socket.sendTo(b.out.data(), static_cast<int>(b.out.size()), to_socket_address(decision.agent));
+            counted->add(event::packets_forwarded);
+        } catch (const Poco::TimeoutException&) {
+            continue;
+        } catch (const Poco::Exception&) {
+            // A send to a process that is gone shows up as an error of the socket; the packet is lost.
+            counted->add(event::packets_dropped);
+        }
+    }
+}
+
+forwarder::forwarder(std::unique_ptr<impl> state) : impl_(std::move(state)) {}
+
+forwarder::~forwarder() { stop(); }
+
+result<std::unique_ptr<forwarder>> forwarder::start(const endpoint& data, const endpoint& control,
+                                                    cluster_id cluster, unsigned workers, counters& counted)
+{
+    auto state = std::make_unique<impl>();
+    try {
+        state->socket.bind(to_socket_address(data), false);
+        state->socket.setReceiveBufferSize(socket_buffer_bytes);
+        state->socket.setReceiveTimeout(Poco::Timespan(std::chrono::microseconds(receive_timeout).count()));
+    } catch (const Poco::Exception& e) {
+        return error{error_code::address_in_use, to_string(data) + ": " + e.displayText()};
+    }
+    state->control = control;
+    state->cluster = cluster;
+    state->counted = &counted;
+    for (unsigned i = 0; i < workers; ++i) {
+        state->threads.emplace_back([s = state.get()] { s->work(); });
+    }
+    return std::unique_ptr<forwarder>(new forwarder(std::move(state)));
+}
+
+void forwarder::set_routes(std::shared_ptr<const route_table> routes)
+{
+    {
+        const std::scoped_lock lock(impl_->mutex);
+        impl_->routes = std::move(routes);
+    }
+    impl_->generation.fetch_add(1, std::memory_order_release);
+}
+
+void forwarder::stop()
+{
+    impl_->stopping = true;
+    for (std::thread& t : impl_->threads) {
+        if (t.joinable()) {
+            t.join();
+        }
+    }
+}
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/process/daemon.cpp
@@ -0,0 +1,127 @@
+#include "peridotcleat/daemon.h"
+
+#include <Poco/JSON/Object.h>
+
+#include <exception>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace peridotcleat {
+
+const char* const daemon_options = R"(
+  --name=S        Name of this process, unique in the cluster.
+  --zone=S        Availability zone of this process.
+  --listen=A      Address for messages of other processes, a.b.c.d:port (UDP).
+  --admin=A       Address of the HTTP interface.
+  --cluster=N     Id of the cluster; messages of others are refused [default: 1].
+  --log=S         Lowest level that is logged: debug, info, warning or error [default: info].
+  --seed=N        Seed of random choices; 0 takes one from the system [default: 0].
+  --check         Validates the settings and exits.
+  --help          Prints this text.
+  --version       Prints the version.
+
+Each flag can be given as an environment variable instead: --data-folder as PERIDOTCLEAT_DATA_FOLDER.
+)";
+
+namespace {
+
+constexpr std::size_t max_name = 64;
+
+log_level read_level(settings& s)
+{
+    const std::string text = s.text("--log");
+    if (text == "debug") {
+        return log_level::debug;
+    }
+    if (text == "warning") {
+        return log_level::warning;
+    }
+    if (text == "error") {
+        return log_level::error;
+    }
+    if (text != "info") {
+        s.reject(error_code::invalid_setting, "--log", text, "debug, info, warning or error");
+    }
+    return log_level::info;
+}
+
+std::string read_name(settings& s, const std::string& flag)
+{
+    std::string text = s.text(flag);
+    if (text.size() > max_name) {
+        s.reject(error_code::invalid_setting, flag, text, "1 to 64 characters");
+    }
+    return text;
+}
+
+}  // namespace
+
+daemon_settings read_daemon_settings(settings& s)
+{
+    daemon_settings d;
+    d.name = read_name(s, "--name");
+    d.zone = read_name(s, "--zone");
+    d.listen = s.address("--listen");
+    d.admin = s.address("--admin");
+    d.cluster = cluster_id{s.integer("--cluster", 1, INT64_MAX)};
+    d.lowest = read_level(s);
+    d.seed = static_cast<std::uint64_t>(s.integer("--seed", 0, INT64_MAX));
+    if (d.seed == 0) {
+        std::random_device device;
+        d.seed = (std::uint64_t{device()} << 32U) | device();
+    }
+    d.check = s.flag("--check");
+    if (d.listen.valid() && d.listen == d.admin) {
+        s.reject(error_code::invalid_setting, "--admin", to_string(d.admin), "an address other than --listen");
+    }
+    return d;
+}
+
+int report_failure(const error& e)
+{
+    std::cerr << "error=" << static_cast<int>(e.code) << " name=" << to_string(e.code) << ' ' << e.message << '\n';
+    return 1;
+}
+
+int run_daemon(int argc, char** argv, const std::string& usage, const std::string& program,
+               int (*body)(settings& s))
+{
+    try {
+        auto parsed = settings::parse(usage, {argv + 1, argv + argc}, program + " 0.1.0");
+        if (!has_value(parsed)) {
+            report_failure(failure(parsed));
+            std::cerr << usage << '\n';
+            return 2;
+        }
+        return body(value(parsed));
+    } catch (const std::exception& e) {
+        std::cerr << program << ": " << e.what() << '\n';
+        return 1;
+    }
+}
+
+std::string to_json(const counters& counted)
+{
+    Poco::JSON::Object o;
+    for (const auto& [name, n] : counted.snapshot()) {
+        o.set(name, n);
+    }
+    std::ostringstream text;
+    o.stringify(text);
+    return text.str();
+}
+
+node_link_settings link_settings(const daemon_settings& d, node_role role, std::vector<endpoint> parents)
+{
+    node_link_settings l;
+    l.role = role;
+    l.name = d.name;
+    l.zone = d.zone;
+    l.address = d.listen;
+    l.parents = std::move(parents);
+    l.seed = d.seed;
+    return l;
+}
+
+}  // namespace peridotcleat
