--- a/src/include/peridotcleat/route_table.h
+++ b/src/include/peridotcleat/route_table.h
@@ -29,20 +29,33 @@
     std::array<std::uint16_t, bucket_count> owners{};
     /// False if no target is active.
     bool has_owner = false;
+    /// Addresses of the service.
+    std::vector<endpoint> addresses;
+    /// Digest over id, addresses, targets and owners.
+    std::uint64_t digest = 0;
 
     /// Returns the index of target `id`, if it is in the table.
     [[nodiscard]] std::optional<std::size_t> index_of(incarnation id) const noexcept;
-    /// Returns the active target other than `owner` that is the second candidate of a flow, if any.
+    /// Returns the active target other than `owner` that is the second candidate of a flow, if any. Weighted
+    /// by slots; the costs grow with the number of targets.
     [[nodiscard]] std::optional<std::size_t> second_candidate(std::uint64_t flow_hash,
                                                               incarnation owner) const noexcept;
 };
 
+/// Score of a target for a bucket or flow; the target with the lowest score divided by its weight wins, which
+/// gives each target a share in proportion to its weight. Below 2^47.
+///
+/// Computed in integers, because the logarithms of two C libraries may differ in the last bit, and then nodes
+/// would disagree on owners.
+[[nodiscard]] std::uint64_t rendezvous_score(std::uint64_t hash) noexcept;
+
 /// Routes of all services, derived from a table. Immutable once built; lookups allocate nothing.
 class route_table {
 public:
     /// Derives all routes.
     static std::shared_ptr<const route_table> build(const table_state& table);
-    /// Derives the routes of `touched` services and shares the others with `previous`.
+    /// Derives the routes of `touched` services and shares the others with `previous`. `touched` must name
+    /// every service that differs between the tables, removed ones included.
     static std::shared_ptr<const route_table> rebuild(const route_table& previous, const table_state& table,
                                                       const std::vector<service_id>& touched);
 
@@ -52,10 +65,14 @@
     [[nodiscard]] const service_routes* find(service_id service) const noexcept;
     [[nodiscard]] revision at() const noexcept { return at_; }
     /// Digest over all owners, equal on all nodes that hold the same table.
-    [[nodiscard]] std::uint64_t digest() const noexcept;
+    [[nodiscard]] std::uint64_t digest() const noexcept { return digest_; }
 
 private:
+    void add(const table_state& table, service_id id);
+    void remove(service_id id);
+
     revision at_;
+    std::uint64_t digest_ = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<const service_routes>> by_address_;
     std::unordered_map<service_id, std::shared_ptr<const service_routes>, id_hash> by_service_;
 };
--- a/src/include/peridotcleat/table_state.h
+++ b/src/include/peridotcleat/table_state.h
@@ -5,8 +5,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "peridotcleat/message.h"
@@ -15,11 +17,17 @@
 
 /// Outcome of a patch, true when given and ever after.
 enum class patch_status : std::uint8_t {
+    /// In the table as version `version`.
     accepted,
+    /// The same patch was accepted before, as version `version`.
     already_accepted,
+    /// Another patch was accepted on the same base; this one never will be.
     conflict,
+    /// At fault in itself or against the table of its base; it never will be accepted.
     invalid,
+    /// This attempt changed nothing and will not; the same patch may be sent again.
     not_accepted,
+    /// The record that decides is no longer kept, or no reply came.
     outcome_unknown
 };
 
@@ -37,6 +45,27 @@
     error reason;
 };
 
+namespace pvt {
+
+/// Kinds of objects in the table, with their numbers in messages.
+enum class object_kind : std::int8_t { service = 1, target = 2, node = 3 };
+
+/// Position of an object or tombstone in the order of modification.
+struct object_key {
+    std::int64_t revision = 0;
+    object_kind kind = object_kind::service;
+    std::int64_t id = 0;
+
+    auto operator<=>(const object_key&) const = default;
+};
+
+/// Digest of one object; the digest of a table is the sum over its objects.
+std::uint64_t digest_of(const wire::service_entry& value) noexcept;
+std::uint64_t digest_of(const wire::target& value) noexcept;
+std::uint64_t digest_of(const wire::node& value) noexcept;
+
+}  // namespace pvt
+
 /// What applying one change did.
 struct apply_outcome {
     /// Set for patches.
@@ -61,8 +90,19 @@
     static constexpr std::size_t max_patch_records = 8192;
     /// How long an address stays reserved for its former service.
     static constexpr std::chrono::seconds quarantine_time{60};
-
-    /// Applies the change of log entry `at`, which must be greater than `current_revision()`.
+    /// Most services, targets and nodes at a time; more are refused with `table_full`.
+    static constexpr std::size_t max_services = 4096;
+    static constexpr std::size_t max_targets = 20'000;
+    static constexpr std::size_t max_nodes = 2000;
+    /// Most operations of a patch; more are refused with `patch_too_large`.
+    static constexpr std::size_t max_operations = 256;
+
+    /// Applies the change of log entry `at`. An entry that is not above `current_revision()` is refused with
+    /// `message_malformed` and changes nothing at all.
+    ///
+    /// A join of an endpoint and nonce that are in the table already returns the present incarnation. Any
+    /// other target or node at the endpoint of a join leaves in the same entry, as does the one named in
+    /// `replaces`.
     apply_outcome apply(revision at, const wire::change& change);
     /// Moves the revision forward for entries that change nothing.
     void skip_to(revision at);
@@ -92,8 +132,17 @@
     /// Returns the targets of `service` in order of incarnation, draining ones included.
     [[nodiscard]] std::vector<incarnation> targets_of(service_id service) const;
 
-    /// Returns the objects after `position` in order of modification, as many as fit `max_bytes`.
-    /// With a `position` before the horizon, or with `full`, the page belongs to a full table.
+    /// Returns the target or node that serves at `agent`, if any.
+    [[nodiscard]] std::optional<incarnation> find_target(const endpoint& agent) const;
+    [[nodiscard]] std::optional<incarnation> find_node(const endpoint& control) const;
+    /// Returns the service that owns `address`, if any.
+    [[nodiscard]] std::optional<service_id> find_address(const endpoint& address) const;
+    /// Tombstones at or below this revision may be gone; a node below it needs a full table.
+    [[nodiscard]] revision horizon() const noexcept { return horizon_; }
+
+    /// Returns the objects after `position` in order of modification, as many as fit an encoded page of
+    /// `max_bytes`, but at least one. With a `position` before the horizon the page starts a full table; with
+    /// `full` it starts or continues one. Costs what it returns, not what the table holds.
     [[nodiscard]] wire::table_page delta(const wire::cursor& position, bool full,
                                          std::size_t max_bytes) const;
 
@@ -110,14 +159,62 @@
     /// Sets revision and version after pages were applied.
     void finish_pages(revision at, config_version version);
 
+    /// Returns the digest that the table would have after these changes, without making them. Later ones win.
+    struct object_changes {
+        std::map<service_id, wire::service_entry> services;
+        std::map<incarnation, wire::target> targets;
+        std::map<incarnation, wire::node> nodes;
+        /// Removed objects by kind and id.
+        std::map<std::pair<pvt::object_kind, std::int64_t>, wire::tombstone> removed;
+    };
+    [[nodiscard]] std::uint64_t digest_with(const object_changes& changes) const;
+
 private:
+    class patch_check;
+
+    patch_answer apply_patch(revision at, const wire::patch& patch, wall_time now,
+                             std::vector<service_id>& touched);
+    void apply_operation(revision at, const wire::patch_operation& op, wall_time now,
+                         std::vector<service_id>& touched);
+    void record_patch(revision at, const wire::patch& patch, wall_time now);
+    void join_target(revision at, const wire::target_join& join, apply_outcome& out);
+    void join_node(revision at, const wire::node_join& join, apply_outcome& out);
+    void drain_target(revision at, incarnation id, apply_outcome& out);
+    void leave_target(revision at, incarnation id, apply_outcome& out);
+    void leave_node(revision at, incarnation id, apply_outcome& out);
+
+    void remove_service(revision at, service_id id, wall_time now);
+    void quarantine_address(const endpoint& address, service_id former, wall_time now);
+    void forget_expired_quarantine(wall_time now);
+    void bury(revision at, pvt::object_kind kind, std::int64_t id);
+    void erase_live(const wire::service_entry& value);
+    void erase_live(const wire::target& value);
+    void erase_live(const wire::node& value);
+    void drop_old_tombstones();
+    [[nodiscard]] bool needs_full(const wire::cursor& position) const noexcept;
+    [[nodiscard]] std::optional<error> load(const wire::table_snapshot& snapshot);
+    [[nodiscard]] std::optional<error> load_objects(const wire::table_snapshot& snapshot);
+    [[nodiscard]] std::optional<error> load_records(const wire::table_snapshot& snapshot);
+
     revision revision_;
     config_version version_;
+    revision horizon_;
+    std::int64_t next_service_ = 1;
     std::uint64_t digest_ = 0;
     std::map<service_id, wire::service_entry> services_;
     std::map<incarnation, wire::target> targets_;
     std::map<incarnation, wire::node> nodes_;
     std::map<config_version, wire::patch_record> patches_;
+    std::map<endpoint, wire::quarantine> quarantined_;
+    // Indexes, all derived from the maps above.
+    std::map<pvt::object_key, bool> order_;  // true: tombstone
+    std::set<pvt::object_key> tombstones_;
+    std::map<std::string, service_id, std::less<>> by_name_;
+    std::map<endpoint, service_id> by_address_;
+    std::map<service_id, std::set<incarnation>> by_service_;
+    std::map<endpoint, incarnation> target_at_;
+    std::map<endpoint, incarnation> node_at_;
+    std::unordered_map<std::string, config_version> by_patch_id_;
 };
 
 }  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/version/description_print.cpp
@@ -0,0 +1,214 @@
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <iterator>
+#include <map>
+#include <sstream>
+#include <utility>
+
+#include "peridotcleat/description.h"
+
+namespace peridotcleat {
+
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+constexpr unsigned indent = 2;
+
+Object::Ptr new_object() { return new Object(Poco::JSON_PRESERVE_KEY_ORDER); }
+
+std::string hex(std::uint64_t v)
+{
+    std::array<char, 16> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), v, 16).ptr;
+    return {text.data(), end};
+}
+
+Object::Ptr json_of(const wire::service_entry& s)
+{
+    Object::Ptr o = new_object();
+    o->set("name", s.name);
+    Array::Ptr addresses = new Array;
+    for (const wire::endpoint& a : s.addresses) {
+        addresses->add(to_string(from_wire(a)));
+    }
+    o->set("addresses", addresses);
+    if (s.__isset.idle_timeout_ms) {
+        o->set("idle_timeout_ms", s.idle_timeout_ms);
+    }
+    if (s.__isset.queue_per_slot) {
+        o->set("queue_per_slot", s.queue_per_slot);
+    }
+    if (s.__isset.ramp_ms) {
+        o->set("ramp_ms", s.ramp_ms);
+    }
+    if (s.__isset.retry_percent) {
+        o->set("retry_percent", s.retry_percent);
+    }
+    if (s.__isset.placement) {
+        o->set("placement", s.placement == 1 ? "owner_only" : "two_candidates");
+    }
+    return o;
+}
+
+Object::Ptr json_of(const wire::target& t, const table_state& table)
+{
+    Object::Ptr o = new_object();
+    o->set("incarnation", t.incarnation);
+    const auto service = table.services().find(service_id{t.service_id});
+    o->set("service", service == table.services().end() ? std::string() : service->second.name);
+    o->set("name", t.name);
+    o->set("agent", to_string(from_wire(t.agent)));
+    o->set("zone", t.zone);
+    o->set("slots", t.slots);
+    o->set("connections", t.connections);
+    o->set("draining", t.draining);
+    return o;
+}
+
+Object::Ptr json_of(const wire::node& n)
+{
+    Object::Ptr o = new_object();
+    o->set("incarnation", n.incarnation);
+    o->set("name", n.name);
+    o->set("control", to_string(from_wire(n.control)));
+    o->set("zone", n.zone);
+    return o;
+}
+
+Object::Ptr json_of(const wire::patch_operation& op)
+{
+    Object::Ptr o = new_object();
+    if (op.kind == 3) {
+        o->set("remove", op.name);
+    } else {
+        o->set(op.kind == 1 ? "add" : "change", json_of(op.value));
+    }
+    return o;
+}
+
+Array::Ptr services_of(const table_state& table)
+{
+    Array::Ptr list = new Array;
+    for (const auto& item : table.services()) {
+        list->add(json_of(item.second));
+    }
+    return list;
+}
+
+std::string print(const Object::Ptr& o)
+{
+    std::ostringstream out;
+    o->stringify(out, indent);
+    out << '\n';
+    return std::move(out).str();
+}
+
+// Two entries differ if a node would act on them differently; the order of addresses has no meaning.
+bool same_service(const wire::service_entry& a, const wire::service_entry& b)
+{
+    const auto sorted = [](const wire::service_entry& e) {
+        std::vector<endpoint> list;
+        std::ranges::transform(e.addresses, std::back_inserter(list),
+                               [](const wire::endpoint& w) { return from_wire(w); });
+        std::ranges::sort(list);
+        return list;
+    };
+    return options_of(a) == options_of(b) && sorted(a) == sorted(b);
+}
+
+wire::patch_operation operation(std::int8_t kind, const std::string& name)
+{
+    wire::patch_operation op;
+    op.kind = kind;
+    op.name = name;
+    return op;
+}
+
+}  // namespace
+
+result<wire::patch> plan_patch(const table_state& table, const std::vector<wire::service_entry>& wanted,
+                               std::string_view patch_id)
+{
+    wire::patch patch;
+    patch.patch_id = patch_id;
+    patch.base = table.version().value;
+    std::map<std::string_view, const wire::service_entry*> by_name;
+    for (const wire::service_entry& s : wanted) {
+        by_name.emplace(s.name, &s);
+    }
+    std::vector<wire::patch_operation> later;
+    for (const auto& item : table.services()) {
+        const wire::service_entry& present = item.second;
+        const auto it = by_name.find(present.name);
+        if (it == by_name.end()) {
+            patch.operations.push_back(operation(3, present.name));
+        } else if (!same_service(present, *it->second)) {
+            later.push_back(operation(2, present.name));
+            later.back().__set_value(*it->second);
+        }
+    }
+    for (const wire::service_entry& s : wanted) {
+        if (!table.find_service(s.name)) {
+            later.push_back(operation(1, s.name));
+            later.back().__set_value(s);
+        }
+    }
+    std::ranges::move(later, std::back_inserter(patch.operations));
+    if (patch.operations.empty()) {
+        return error{error_code::patch_empty, "services: the table holds all of them as described"};
+    }
+    if (patch.operations.size() > table_state::max_operations) {
+        return error{error_code::patch_too_large,
+                     "operations: " + std::to_string(patch.operations.size()) + " are needed, at most " +
+                         std::to_string(table_state::max_operations) + " are permitted"};
+    }
+    return patch;
+}
+
+std::string print_description(const table_state& table)
+{
+    Object::Ptr o = new_object();
+    o->set("services", services_of(table));
+    return print(o);
+}
+
+std::string print_patch(const wire::patch& patch)
+{
+    Object::Ptr o = new_object();
+    o->set("patch_id", patch.patch_id);
+    o->set("base", patch.base);
+    Array::Ptr list = new Array;
+    for (const wire::patch_operation& op : patch.operations) {
+        list->add(json_of(op));
+    }
+    o->set("operations", list);
+    return print(o);
+}
+
+std::string print_table(const table_state& table)
+{
+    Object::Ptr o = new_object();
+    o->set("version", table.version().value);
+    o->set("revision", table.current_revision().value);
+    o->set("digest", hex(table.digest()));
+    o->set("services", services_of(table));
+    Array::Ptr targets = new Array;
+    for (const auto& item : table.targets()) {
+        targets->add(json_of(item.second, table));
+    }
+    o->set("targets", targets);
+    Array::Ptr nodes = new Array;
+    for (const auto& item : table.nodes()) {
+        nodes->add(json_of(item.second));
+    }
+    o->set("nodes", nodes);
+    return print(o);
+}
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/version/table_copy.cpp
@@ -0,0 +1,173 @@
+#include "peridotcleat/table_copy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotcleat {
+
+namespace {
+
+using pvt::object_kind;
+
+wire::cursor cursor_behind(revision r)
+{
+    wire::cursor c;
+    c.revision = r.value;
+    c.kind = 0;
+    c.id = 0;
+    return c;
+}
+
+// Puts all staged objects into `table`. The order does not matter: a name or address that changed hands stays
+// with the object that was put for it.
+void put_all(table_state& table, const table_state::object_changes& changes)
+{
+    const auto put_each = [&table](const auto& objects) {
+        for (const auto& item : objects) {
+            table.put(item.second);
+        }
+    };
+    put_each(changes.services);
+    put_each(changes.targets);
+    put_each(changes.nodes);
+    for (const auto& item : changes.removed) {
+        table.remove(item.second);
+    }
+}
+
+void sort_unique(std::vector<service_id>& list)
+{
+    std::ranges::sort(list);
+    list.erase(std::unique(list.begin(), list.end()), list.end());
+}
+
+}  // namespace
+
+void table_copy::fill(wire::pull_request& request) const
+{
+    request.revision = table_.current_revision().value;
+    request.position = position_;
+    request.full = full_;
+    request.digest = static_cast<std::int64_t>(table_.digest());
+}
+
+void table_copy::restart(bool full)
+{
+    staged_ = {};
+    staged_at_ = {};
+    full_ = full;
+    position_ = cursor_behind(full ? revision{} : table_.current_revision());
+}
+
+page_outcome table_copy::take(const wire::table_page& page, std::vector<service_id>& touched)
+{
+    const revision at{page.revision};
+    if (at < table_.current_revision()) {
+        return page_outcome::ignored;
+    }
+    if (page.full != full_) {
+        // A parent starts a full table unasked if the copy is from before its horizon.
+        const bool unasked = page.full && page.start == wire::cursor{} && at > table_.current_revision();
+        if (!unasked) {
+            return page_outcome::ignored;
+        }
+        restart(true);
+    }
+    if (page.start != position_) {
+        return page_outcome::ignored;
+    }
+    if (at < staged_at_) {
+        restart(full_);
+        return page_outcome::ignored;
+    }
+    staged_at_ = at;
+    stage(page);
+    position_ = page.position;
+    return page.complete ? complete(page, touched) : page_outcome::staged;
+}
+
+void table_copy::stage(const wire::table_page& page)
+{
+    for (const auto& v : page.services) {
+        staged_.services.insert_or_assign(service_id{v.id}, v);
+    }
+    for (const auto& v : page.targets) {
+        staged_.targets.insert_or_assign(incarnation{v.incarnation}, v);
+    }
+    for (const auto& v : page.nodes) {
+        staged_.nodes.insert_or_assign(incarnation{v.incarnation}, v);
+    }
+    for (const auto& v : page.tombstones) {
+        const auto kind = static_cast<object_kind>(v.kind);
+        // The object may have been staged before it was removed.
+        switch (kind) {
+        case object_kind::service: staged_.services.erase(service_id{v.id}); break;
+        case object_kind::target: staged_.targets.erase(incarnation{v.id}); break;
+        case object_kind::node: staged_.nodes.erase(incarnation{v.id}); break;
+        default: continue;
+        }
+        staged_.removed.insert_or_assign(std::pair(kind, v.id), v);
+    }
+}
+
+page_outcome table_copy::complete(const wire::table_page& page, std::vector<service_id>& touched)
+{
+    const auto expected = static_cast<std::uint64_t>(page.digest);
+    const bool was_current = !full_ && revision{page.revision} == table_.current_revision();
+    if (full_) {
+        if (!apply_full(page, touched)) {
+            restart(true);
+            return page_outcome::mismatch;
+        }
+    } else {
+        if (table_.digest_with(staged_) != expected) {
+            restart(true);
+            return page_outcome::mismatch;
+        }
+        apply_delta(page, touched);
+    }
+    restart(false);
+    return was_current ? page_outcome::current : page_outcome::applied;
+}
+
+bool table_copy::apply_full(const wire::table_page& page, std::vector<service_id>& touched)
+{
+    table_state next;
+    put_all(next, staged_);
+    if (next.digest() != static_cast<std::uint64_t>(page.digest)) {
+        return false;
+    }
+    next.finish_pages(revision{page.revision}, config_version{page.config_version});
+    for (const auto& item : table_.services()) {
+        touched.push_back(item.first);
+    }
+    for (const auto& item : next.services()) {
+        touched.push_back(item.first);
+    }
+    sort_unique(touched);
+    table_ = std::move(next);
+    return true;
+}
+
+void table_copy::apply_delta(const wire::table_page& page, std::vector<service_id>& touched)
+{
+    for (const auto& item : staged_.services) {
+        touched.push_back(item.first);
+    }
+    for (const auto& item : staged_.targets) {
+        touched.push_back(service_id{item.second.service_id});
+    }
+    for (const auto& [key, stone] : staged_.removed) {
+        if (key.first == object_kind::service) {
+            touched.push_back(service_id{stone.id});
+        } else if (const auto it = table_.targets().find(incarnation{stone.id});
+                   key.first == object_kind::target && it != table_.targets().end()) {
+            touched.push_back(service_id{it->second.service_id});
+        }
+    }
+    sort_unique(touched);
+    put_all(table_, staged_);
+    table_.finish_pages(revision{page.revision}, config_version{page.config_version});
+}
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/version/table_pages.cpp
@@ -0,0 +1,265 @@
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <utility>
+
+#include "peridotcleat/table_state.h"
+
+namespace peridotcleat {
+
+namespace {
+
+using pvt::object_key;
+using pvt::object_kind;
+
+// Upper bound of an encoded page without objects: nine fields, two cursors and four list headers.
+constexpr std::size_t page_overhead = 104;
+
+// A cursor of kind 0 holds everything of its revision, so it stands behind all kinds.
+object_key key_of(const wire::cursor& c) noexcept
+{
+    const auto kind = c.kind == 0 ? std::numeric_limits<std::int8_t>::max() : c.kind;
+    return {c.revision, static_cast<object_kind>(kind), c.id};
+}
+
+wire::cursor cursor_of(const object_key& k)
+{
+    wire::cursor c;
+    c.revision = k.revision;
+    c.kind = static_cast<std::int8_t>(k.kind);
+    c.id = k.id;
+    return c;
+}
+
+wire::cursor cursor_behind(revision r)
+{
+    wire::cursor c;
+    c.revision = r.value;
+    c.kind = 0;
+    c.id = 0;
+    return c;
+}
+
+wire::tombstone tombstone_of(const object_key& k)
+{
+    wire::tombstone t;
+    t.kind = static_cast<std::int8_t>(k.kind);
+    t.id = k.id;
+    t.revision = k.revision;
+    return t;
+}
+
+// Appends `object` to `list` if it fits what is left, or if the page is empty.
+template <class T>
+bool append(std::vector<T>& list, const T& object, std::size_t& left, bool first)
+{
+    const std::size_t size = encode_struct(object).size();
+    if (size > left && !first) {
+        return false;
+    }
+    left -= std::min(left, size);
+    list.push_back(object);
+    return true;
+}
+
+error corrupt(const std::string& what) { return {error_code::snapshot_corrupt, what}; }
+
+template <class Map>
+auto values_of(const Map& map)
+{
+    std::vector<typename Map::mapped_type> list;
+    list.reserve(map.size());
+    for (const auto& item : map) {
+        list.push_back(item.second);
+    }
+    return list;
+}
+
+}  // namespace
+
+bool table_state::needs_full(const wire::cursor& position) const noexcept
+{
+    return position.revision < horizon_.value || (position.revision == horizon_.value && position.kind != 0);
+}
+
+wire::table_page table_state::delta(const wire::cursor& position, bool full, std::size_t max_bytes) const
+{
+    wire::table_page page;
+    page.revision = revision_.value;
+    page.config_version = version_.value;
+    page.full = full;
+    page.start = position;
+    page.digest = static_cast<std::int64_t>(digest_);
+    if (!full && needs_full(position)) {
+        page.full = true;
+        page.start = cursor_behind(revision{0});
+    }
+    std::size_t left = max_bytes - std::min(max_bytes, page_overhead);
+    bool first = true;
+    page.position = page.start;
+    for (auto it = order_.upper_bound(key_of(page.start)); it != order_.end(); ++it, first = false) {
+        const object_key& k = it->first;
+        bool fits = false;
+        if (it->second) {
+            fits = append(page.tombstones, tombstone_of(k), left, first);
+        } else if (k.kind == object_kind::service) {
+            fits = append(page.services, services_.at(service_id{k.id}), left, first);
+        } else if (k.kind == object_kind::target) {
+            fits = append(page.targets, targets_.at(incarnation{k.id}), left, first);
+        } else {
+            fits = append(page.nodes, nodes_.at(incarnation{k.id}), left, first);
+        }
+        if (!fits) {
+            page.complete = false;
+            return page;
+        }
+        page.position = cursor_of(k);
+    }
+    page.complete = true;
+    page.position = cursor_behind(revision_);
+    return page;
+}
+
+std::uint64_t table_state::digest_with(const object_changes& changes) const
+{
+    std::uint64_t digest = digest_;
+    const auto replace = [&digest](const auto& present, const auto& changed) {
+        for (const auto& [id, value] : changed) {
+            if (const auto it = present.find(id); it != present.end()) {
+                digest -= pvt::digest_of(it->second);
+            }
+            digest += pvt::digest_of(value);
+        }
+    };
+    const auto subtract = [&digest](const auto& present, auto id) {
+        if (const auto it = present.find(id); it != present.end()) {
+            digest -= pvt::digest_of(it->second);
+        }
+    };
+    replace(services_, changes.services);
+    replace(targets_, changes.targets);
+    replace(nodes_, changes.nodes);
+    for (const auto& [key, stone] : changes.removed) {
+        switch (key.first) {
+        case object_kind::service: subtract(services_, service_id{stone.id}); break;
+        case object_kind::target: subtract(targets_, incarnation{stone.id}); break;
+        case object_kind::node: subtract(nodes_, incarnation{stone.id}); break;
+        }
+    }
+    return digest;
+}
+
+wire::table_snapshot table_state::snapshot() const
+{
+    wire::table_snapshot s;
+    s.revision = revision_.value;
+    s.config_version = version_.value;
+    s.horizon = horizon_.value;
+    s.next_service = next_service_;
+    s.services = values_of(services_);
+    s.targets = values_of(targets_);
+    s.nodes = values_of(nodes_);
+    s.patches = values_of(patches_);
+    s.quarantined = values_of(quarantined_);
+    s.tombstones.reserve(tombstones_.size());
+    for (const object_key& k : tombstones_) {
+        s.tombstones.push_back(tombstone_of(k));
+    }
+    return s;
+}
+
+result<table_state> table_state::from_snapshot(const wire::table_snapshot& snapshot)
+{
+    table_state table;
+    if (auto e = table.load(snapshot)) {
+        return *e;
+    }
+    return table;
+}
+
+std::optional<error> table_state::load(const wire::table_snapshot& s)
+{
+    if (s.revision < 0 || s.config_version < 0 || s.next_service < 1 || s.horizon < 0 ||
+        s.horizon > s.revision) {
+        return corrupt("revision, version, horizon or next service out of range");
+    }
+    if (s.services.size() > max_services || s.targets.size() > max_targets || s.nodes.size() > max_nodes ||
+        s.tombstones.size() > max_tombstones || s.patches.size() > max_patch_records ||
+        static_cast<std::int64_t>(s.patches.size()) > s.config_version) {
+        return corrupt("more objects than a table may hold");
+    }
+    revision_ = revision{s.revision};
+    version_ = config_version{s.config_version};
+    horizon_ = revision{s.horizon};
+    next_service_ = s.next_service;
+    if (auto e = load_objects(s)) {
+        return e;
+    }
+    return load_records(s);
+}
+
+std::optional<error> table_state::load_objects(const wire::table_snapshot& s)
+{
+    const auto in_range = [&s](std::int64_t id, std::int64_t changed, std::int64_t limit) {
+        return id > 0 && id <= limit && changed > 0 && changed <= s.revision;
+    };
+    for (const wire::service_entry& v : s.services) {
+        const std::string what = "service " + std::to_string(v.id);
+        const bool taken = services_.contains(service_id{v.id}) || by_name_.contains(v.name) ||
+                           std::ranges::any_of(v.addresses, [this](const wire::endpoint& a) {
+                               return by_address_.contains(from_wire(a));
+                           });
+        if (taken || !in_range(v.id, v.revision, s.next_service - 1)) {
+            return corrupt(what + ": id, name or address is taken or out of range");
+        }
+        put(v);
+    }
+    for (const wire::target& v : s.targets) {
+        if (targets_.contains(incarnation{v.incarnation}) || target_at_.contains(from_wire(v.agent)) ||
+            !services_.contains(service_id{v.service_id}) ||
+            !in_range(v.incarnation, v.revision, s.revision)) {
+            return corrupt("target " + std::to_string(v.incarnation) + ": id, agent or service is wrong");
+        }
+        put(v);
+    }
+    for (const wire::node& v : s.nodes) {
+        if (nodes_.contains(incarnation{v.incarnation}) || node_at_.contains(from_wire(v.control)) ||
+            !in_range(v.incarnation, v.revision, s.revision)) {
+            return corrupt("node " + std::to_string(v.incarnation) + ": id or endpoint is wrong");
+        }
+        put(v);
+    }
+    return std::nullopt;
+}
+
+std::optional<error> table_state::load_records(const wire::table_snapshot& s)
+{
+    const std::size_t live = services_.size() + targets_.size() + nodes_.size();
+    for (const wire::tombstone& v : s.tombstones) {
+        if (v.kind < 1 || v.kind > 3 || v.revision <= 0 || v.revision > s.revision) {
+            return corrupt("tombstone of object " + std::to_string(v.id) + " is out of range");
+        }
+        remove(v);
+    }
+    if (services_.size() + targets_.size() + nodes_.size() != live ||
+        tombstones_.size() != s.tombstones.size()) {
+        return corrupt("a tombstone is repeated or its object is in the table");
+    }
+    std::int64_t version = s.config_version - static_cast<std::int64_t>(s.patches.size());
+    for (const wire::patch_record& v : s.patches) {
+        if (v.config_version != ++version || v.revision <= 0 || v.revision > s.revision ||
+            !by_patch_id_.emplace(v.patch_id, config_version{version}).second) {
+            return corrupt("record of patch version " + std::to_string(v.config_version) + " is wrong");
+        }
+        patches_.emplace(config_version{version}, v);
+    }
+    for (const wire::quarantine& v : s.quarantined) {
+        if (by_address_.contains(from_wire(v.address)) ||
+            !quarantined_.emplace(from_wire(v.address), v).second) {
+            return corrupt("quarantined address " + to_string(from_wire(v.address)) + " is wrong");
+        }
+    }
+    return std::nullopt;
+}
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/version/table_patch.cpp
@@ -0,0 +1,369 @@
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "peridotcleat/description.h"
+#include "peridotcleat/hash.h"
+#include "peridotcleat/table_state.h"
+
+namespace peridotcleat {
+
+namespace {
+
+enum class operation_kind : std::int8_t { add = 1, change = 2, remove = 3 };
+
+std::string operation_path(std::size_t index, std::int8_t kind)
+{
+    static constexpr std::array names{"add", "change", "remove"};
+    std::string path = "operations[" + std::to_string(index) + "]";
+    if (kind >= 1 && kind <= 3) {
+        path += std::string(".") + names.at(static_cast<std::size_t>(kind - 1));
+    }
+    return path;
+}
+
+std::uint64_t content_digest(const wire::patch& patch) { return hash_bytes(encode_struct(patch)); }
+
+patch_answer refusal(patch_status status, error_code code, std::string message)
+{
+    patch_answer a;
+    a.status = status;
+    a.reason = {code, std::move(message)};
+    return a;
+}
+
+// Checks that need no table, so that their verdict on a patch never changes.
+std::optional<patch_answer> check_form(const wire::patch& patch)
+{
+    if (!is_patch_id(patch.patch_id)) {
+        return refusal(patch_status::invalid, error_code::description_invalid_value,
+                       "patch_id: must be 1 to 64 printable characters without spaces");
+    }
+    if (patch.base < 0) {
+        return refusal(patch_status::invalid, error_code::description_invalid_value,
+                       "base: " + std::to_string(patch.base) + " is negative");
+    }
+    if (patch.operations.empty()) {
+        return refusal(patch_status::invalid, error_code::patch_empty, "operations: must not be empty");
+    }
+    if (patch.operations.size() > table_state::max_operations) {
+        return refusal(patch_status::invalid, error_code::patch_too_large,
+                       "operations: " + std::to_string(patch.operations.size()) + " are more than " +
+                           std::to_string(table_state::max_operations));
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+// Tries the operations of a patch in order on an overlay of the table.
+class table_state::patch_check {
+public:
+    patch_check(const table_state& table, wall_time now)
+        : table_(table), now_(now), next_service_(table.next_service_), services_(table.services_.size())
+    {
+    }
+
+    // Returns the answer that refuses the patch, if any.
+    std::optional<patch_answer> run(const wire::patch& patch)
+    {
+        for (std::size_t i = 0; i < patch.operations.size(); ++i) {
+            if (auto refused = run(patch.operations[i], i)) {
+                return refused;
+            }
+        }
+        return std::nullopt;
+    }
+
+private:
+    struct named_service {
+        service_id id;
+        std::vector<wire::endpoint> addresses;
+    };
+
+    std::optional<patch_answer> run(const wire::patch_operation& op, std::size_t index)
+    {
+        const std::string path = operation_path(index, op.kind);
+        switch (static_cast<operation_kind>(op.kind)) {
+        case operation_kind::add: return add(op, path);
+        case operation_kind::change: return change(op, path);
+        case operation_kind::remove: return remove(op, path);
+        }
+        return refusal(patch_status::invalid, error_code::description_invalid_value,
+                       path + ": unknown kind " + std::to_string(op.kind));
+    }
+
+    std::optional<patch_answer> check_value(const wire::patch_operation& op, const std::string& path)
+    {
+        if (!op.__isset.value || op.value.name != op.name) {
+            return refusal(patch_status::invalid, error_code::description_invalid_value,
+                           path + ".name: must be the name of the service");
+        }
+        if (auto e = check_service(op.value, path)) {
+            return refusal(patch_status::invalid, e->code, std::move(e->message));
+        }
+        return std::nullopt;
+    }
+
+    std::optional<patch_answer> add(const wire::patch_operation& op, const std::string& path)
+    {
+        if (auto refused = check_value(op, path)) {
+            return refused;
+        }
+        if (find(op.name)) {
+            return refusal(patch_status::invalid, error_code::service_exists,
+                           path + ".name: service \"" + op.name + "\" exists");
+        }
+        if (services_ >= max_services) {
+            return refusal(patch_status::invalid, error_code::table_full,
+                           path + ": the table holds " + std::to_string(max_services) + " services");
+        }
+        const service_id id{next_service_++};
+        ++services_;
+        return take_addresses(id, op, path);
+    }
+
+    std::optional<patch_answer> change(const wire::patch_operation& op, const std::string& path)
+    {
+        if (auto refused = check_value(op, path)) {
+            return refused;
+        }
+        const auto present = find(op.name);
+        if (!present) {
+            return unknown(op, path);
+        }
+        free_addresses(*present);
+        return take_addresses(present->id, op, path);
+    }
+
+    std::optional<patch_answer> remove(const wire::patch_operation& op, const std::string& path)
+    {
+        const auto present = find(op.name);
+        if (!present) {
+            return unknown(op, path);
+        }
+        free_addresses(*present);
+        names_[op.name] = std::nullopt;
+        --services_;
+        return std::nullopt;
+    }
+
+    static patch_answer unknown(const wire::patch_operation& op, const std::string& path)
+    {
+        return refusal(patch_status::invalid, error_code::service_unknown,
+                       path + ": no service \"" + op.name + "\"");
+    }
+
+    std::optional<named_service> find(const std::string& name) const
+    {
+        if (const auto it = names_.find(name); it != names_.end()) {
+            return it->second;
+        }
+        const auto id = table_.find_service(name);
+        if (!id) {
+            return std::nullopt;
+        }
+        return named_service{*id, table_.services_.at(*id).addresses};
+    }
+
+    void free_addresses(const named_service& service)
+    {
+        for (const wire::endpoint& a : service.addresses) {
+            owners_[from_wire(a)] = std::nullopt;
+            reserved_[from_wire(a)] = service.id;
+        }
+    }
+
+    std::optional<patch_answer> take_addresses(service_id id, const wire::patch_operation& op,
+                                               const std::string& path)
+    {
+        for (std::size_t i = 0; i < op.value.addresses.size(); ++i) {
+            const endpoint address = from_wire(op.value.addresses[i]);
+            const std::string field = path + ".addresses[" + std::to_string(i) + "]: " + to_string(address);
+            if (owner_of(address)) {
+                return refusal(patch_status::invalid, error_code::address_overlap,
+                               field + " belongs to another service");
+            }
+            if (const auto former = reserved_for(address); former && *former != id) {
+                // The same patch is valid once the time has passed, so this is not `invalid`.
+                return refusal(patch_status::not_accepted, error_code::address_quarantined,
+                               field + " was removed from another service less than 60 s ago");
+            }
+            owners_[address] = id;
+        }
+        names_[op.name] = named_service{id, op.value.addresses};
+        return std::nullopt;
+    }
+
+    std::optional<service_id> owner_of(const endpoint& address) const
+    {
+        if (const auto it = owners_.find(address); it != owners_.end()) {
+            return it->second;
+        }
+        return table_.find_address(address);
+    }
+
+    std::optional<service_id> reserved_for(const endpoint& address) const
+    {
+        if (const auto it = reserved_.find(address); it != reserved_.end()) {
+            return it->second;
+        }
+        const auto it = table_.quarantined_.find(address);
+        if (it == table_.quarantined_.end() || it->second.until_ms <= now_.time_since_epoch().count()) {
+            return std::nullopt;
+        }
+        return service_id{it->second.service_id};
+    }
+
+    const table_state& table_;
+    wall_time now_;
+    std::int64_t next_service_;
+    std::size_t services_;
+    std::map<std::string, std::optional<named_service>> names_;
+    std::map<endpoint, std::optional<service_id>> owners_;
+    std::map<endpoint, service_id> reserved_;
+};
+
+patch_answer table_state::check(const wire::patch& patch, wall_time now) const
+{
+    if (auto refused = check_form(patch)) {
+        return *refused;
+    }
+    const auto recorded = by_patch_id_.find(patch.patch_id);
+    if (recorded != by_patch_id_.end()) {
+        const wire::patch_record& record = patches_.at(recorded->second);
+        if (record.digest == static_cast<std::int64_t>(content_digest(patch))) {
+            return {patch_status::already_accepted, recorded->second, revision{record.revision}, {}};
+        }
+    }
+    if (patch.base > version_.value) {
+        // Not `conflict`: a patch sent again after the table has reached its base may be accepted.
+        patch_answer a = refusal(patch_status::not_accepted, error_code::version_conflict,
+                                 "base: " + std::to_string(patch.base) + " is above the current version " +
+                                     std::to_string(version_.value));
+        a.version = version_;
+        return a;
+    }
+    if (recorded != by_patch_id_.end()) {
+        return refusal(patch_status::invalid, error_code::patch_id_reused,
+                       "patch_id: version " + std::to_string(recorded->second.value) +
+                           " has this id with other content");
+    }
+    if (patch.base < version_.value) {
+        const bool decided = patches_.contains(config_version{patch.base + 1});
+        patch_answer a = decided
+                             ? refusal(patch_status::conflict, error_code::version_conflict,
+                                       "base: " + std::to_string(patch.base) +
+                                           " is not the current version " + std::to_string(version_.value))
+                             : refusal(patch_status::outcome_unknown, error_code::outcome_unknown,
+                                       "base: the record of version " + std::to_string(patch.base + 1) +
+                                           " is no longer kept; see the history of patches");
+        a.version = version_;
+        return a;
+    }
+    if (auto refused = patch_check(*this, now).run(patch)) {
+        refused->version = version_;
+        return *refused;
+    }
+    patch_answer accepted;
+    accepted.status = patch_status::accepted;
+    accepted.version = config_version{version_.value + 1};
+    accepted.at = revision_;
+    return accepted;
+}
+
+patch_answer table_state::apply_patch(revision at, const wire::patch& patch, wall_time now,
+                                      std::vector<service_id>& touched)
+{
+    patch_answer answer = check(patch, now);
+    if (answer.status != patch_status::accepted) {
+        return answer;
+    }
+    for (const wire::patch_operation& op : patch.operations) {
+        apply_operation(at, op, now, touched);
+    }
+    std::ranges::sort(touched);
+    touched.erase(std::unique(touched.begin(), touched.end()), touched.end());
+    version_ = answer.version;
+    answer.at = at;
+    record_patch(at, patch, now);
+    return answer;
+}
+
+// Only for operations that passed `patch_check`.
+void table_state::apply_operation(revision at, const wire::patch_operation& op, wall_time now,
+                                  std::vector<service_id>& touched)
+{
+    const auto present = find_service(op.name);
+    const service_id id = present ? *present : service_id{next_service_++};
+    touched.push_back(id);
+    if (static_cast<operation_kind>(op.kind) == operation_kind::remove) {
+        remove_service(at, id, now);
+        return;
+    }
+    if (present) {
+        for (const wire::endpoint& a : services_.at(id).addresses) {
+            quarantine_address(from_wire(a), id, now);
+        }
+    }
+    wire::service_entry entry = op.value;
+    entry.id = id.value;
+    entry.revision = at.value;
+    for (const wire::endpoint& a : entry.addresses) {
+        quarantined_.erase(from_wire(a));
+    }
+    put(entry);
+}
+
+void table_state::remove_service(revision at, service_id id, wall_time now)
+{
+    for (const wire::endpoint& a : services_.at(id).addresses) {
+        quarantine_address(from_wire(a), id, now);
+    }
+    for (const incarnation target : targets_of(id)) {
+        bury(at, pvt::object_kind::target, target.value);
+    }
+    bury(at, pvt::object_kind::service, id.value);
+}
+
+void table_state::quarantine_address(const endpoint& address, service_id former, wall_time now)
+{
+    wire::quarantine q;
+    q.address = to_wire(address);
+    q.service_id = former.value;
+    q.until_ms =
+        (now.time_since_epoch() + std::chrono::duration_cast<std::chrono::milliseconds>(quarantine_time))
+            .count();
+    quarantined_.insert_or_assign(address, q);
+}
+
+void table_state::forget_expired_quarantine(wall_time now)
+{
+    const std::int64_t now_ms = now.time_since_epoch().count();
+    std::erase_if(quarantined_, [now_ms](const auto& item) { return item.second.until_ms <= now_ms; });
+}
+
+void table_state::record_patch(revision at, const wire::patch& patch, wall_time now)
+{
+    wire::patch_record record;
+    record.patch_id = patch.patch_id;
+    record.config_version = version_.value;
+    record.revision = at.value;
+    record.digest = static_cast<std::int64_t>(content_digest(patch));
+    record.__set_time_ms(now.time_since_epoch().count());
+    record.__set_summary(std::to_string(patch.operations.size()) + " operations");
+    by_patch_id_[patch.patch_id] = version_;
+    patches_.emplace(version_, std::move(record));
+    while (patches_.size() > max_patch_records) {
+        const auto oldest = patches_.begin();
+        const auto it = by_patch_id_.find(oldest->second.patch_id);
+        if (it != by_patch_id_.end() && it->second == oldest->first) {
+            by_patch_id_.erase(it);
+        }
+        patches_.erase(oldest);
+    }
+}
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/version/table_state.cpp
@@ -0,0 +1,489 @@
+#include "peridotcleat/table_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "peridotcleat/description.h"
+#include "peridotcleat/hash.h"
+
+namespace peridotcleat {
+
+namespace {
+
+using pvt::object_key;
+using pvt::object_kind;
+
+// Feeds the fields of one object into a digest, in a fixed order.
+class field_digest {
+public:
+    explicit field_digest(object_kind kind) : value_(static_cast<std::uint64_t>(kind)) {}
+
+    field_digest& add(std::int64_t v) noexcept
+    {
+        value_ = combine(value_, static_cast<std::uint64_t>(v));
+        return *this;
+    }
+    field_digest& add(std::string_view v) noexcept
+    {
+        value_ = combine(value_, hash_bytes(v));
+        return *this;
+    }
+    field_digest& add(const wire::endpoint& v) noexcept
+    {
+        return add((std::int64_t{v.address} << 16U) ^ std::int64_t{v.port});
+    }
+    field_digest& add_optional(bool is_set, std::int64_t v) noexcept
+    {
+        return add(is_set ? 1 : 0).add(is_set ? v : 0);
+    }
+    [[nodiscard]] std::uint64_t value() const noexcept { return value_; }
+
+private:
+    std::uint64_t value_;
+};
+
+constexpr object_key key_of(const wire::service_entry& v) noexcept
+{
+    return {v.revision, object_kind::service, v.id};
+}
+constexpr object_key key_of(const wire::target& v) noexcept
+{
+    return {v.revision, object_kind::target, v.incarnation};
+}
+constexpr object_key key_of(const wire::node& v) noexcept
+{
+    return {v.revision, object_kind::node, v.incarnation};
+}
+
+// Erases `key` only if it still names `id`: in a node's copy another object may have taken the name or
+// address before the former one is updated.
+template <class Map, class Key, class Id>
+void erase_if_names(Map& map, const Key& key, Id id)
+{
+    if (const auto it = map.find(key); it != map.end() && it->second == id) {
+        map.erase(it);
+    }
+}
+
+template <class Map, class Key>
+auto lookup(const Map& map, const Key& key) -> std::optional<typename Map::mapped_type>
+{
+    const auto it = map.find(key);
+    return it == map.end() ? std::nullopt : std::optional(it->second);
+}
+
+bool is_label(std::string_view text, bool may_be_empty) noexcept
+{
+    return (may_be_empty || !text.empty()) && text.size() <= max_name_length &&
+           std::ranges::all_of(text, [](char c) { return c >= 0x20 && c < 0x7f; });
+}
+
+error invalid_join(std::string_view field, std::string_view permitted)
+{
+    return {error_code::description_invalid_value,
+            std::string(field) + ": must be " + std::string(permitted)};
+}
+
+std::optional<error> check_target(const wire::target& t)
+{
+    if (!from_wire(t.agent).valid()) {
+        return invalid_join("agent", "an address and port");
+    }
+    if (!is_label(t.name, false)) {
+        return invalid_join("name", "1 to 63 printable ASCII characters");
+    }
+    if (!is_label(t.zone, true)) {
+        return invalid_join("zone", "up to 63 printable ASCII characters");
+    }
+    if (!slots_range.contains(t.slots)) {
+        return invalid_join("slots", "from 1 to 65535");
+    }
+    if (!connections_range.contains(t.connections)) {
+        return invalid_join("connections", "from 1 to 1000000");
+    }
+    return std::nullopt;
+}
+
+std::optional<error> check_node(const wire::node& n)
+{
+    if (!from_wire(n.control).valid()) {
+        return invalid_join("control", "an address and port");
+    }
+    if (!is_label(n.name, false)) {
+        return invalid_join("name", "1 to 63 printable ASCII characters");
+    }
+    if (!is_label(n.zone, true)) {
+        return invalid_join("zone", "up to 63 printable ASCII characters");
+    }
+    return std::nullopt;
+}
+
+int fields_set(const wire::change& c) noexcept
+{
+    const auto& s = c.__isset;
+    return int{s.new_patch} + int{s.join_target} + int{s.drain_target} + int{s.leave_target} +
+           int{s.join_node} + int{s.leave_node};
+}
+
+error unknown_id(const char* what, incarnation id)
+{
+    return {error_code::target_unknown,
+            std::string(what) + " " + std::to_string(id.value) + " is not in the table"};
+}
+
+}  // namespace
+
+std::uint64_t pvt::digest_of(const wire::service_entry& v) noexcept
+{
+    field_digest d(object_kind::service);
+    d.add(v.id).add(v.name).add(v.revision).add(std::int64_t(v.addresses.size()));
+    for (const wire::endpoint& a : v.addresses) {
+        d.add(a);
+    }
+    return d.add_optional(v.__isset.idle_timeout_ms, v.idle_timeout_ms)
+        .add_optional(v.__isset.queue_per_slot, v.queue_per_slot)
+        .add_optional(v.__isset.ramp_ms, v.ramp_ms)
+        .add_optional(v.__isset.retry_percent, v.retry_percent)
+        .add_optional(v.__isset.placement, v.placement)
+        .value();
+}
+
+std::uint64_t pvt::digest_of(const wire::target& v) noexcept
+{
+    return field_digest(object_kind::target)
+        .add(v.incarnation)
+        .add(v.service_id)
+        .add(v.agent)
+        .add(v.zone)
+        .add(v.slots)
+        .add(v.connections)
+        .add(v.draining ? 1 : 0)
+        .add(v.nonce)
+        .add(v.name)
+        .add(v.revision)
+        .value();
+}
+
+std::uint64_t pvt::digest_of(const wire::node& v) noexcept
+{
+    return field_digest(object_kind::node)
+        .add(v.incarnation)
+        .add(v.name)
+        .add(v.zone)
+        .add(v.control)
+        .add(v.nonce)
+        .add(v.revision)
+        .value();
+}
+
+const char* to_string(patch_status s) noexcept
+{
+    switch (s) {
+    case patch_status::accepted: return "accepted";
+    case patch_status::already_accepted: return "already_accepted";
+    case patch_status::conflict: return "conflict";
+    case patch_status::invalid: return "invalid";
+    case patch_status::not_accepted: return "not_accepted";
+    case patch_status::outcome_unknown: return "outcome_unknown";
+    }
+    return "unknown";
+}
+
+apply_outcome table_state::apply(revision at, const wire::change& change)
+{
+    apply_outcome out;
+    if (at <= revision_) {
+        out.refused = error{error_code::message_malformed, "entry " + std::to_string(at.value) +
+                                                               " is not above revision " +
+                                                               std::to_string(revision_.value)};
+        return out;
+    }
+    revision_ = at;
+    const wall_time now{std::chrono::milliseconds(change.time_ms)};
+    forget_expired_quarantine(now);
+    if (fields_set(change) != 1) {
+        out.refused = error{error_code::message_malformed, "a change must have exactly one field"};
+    } else if (change.__isset.new_patch) {
+        out.patch = apply_patch(at, change.new_patch, now, out.touched);
+        if (out.patch->status != patch_status::accepted &&
+            out.patch->status != patch_status::already_accepted) {
+            out.refused = out.patch->reason;
+        }
+    } else if (change.__isset.join_target) {
+        join_target(at, change.join_target, out);
+    } else if (change.__isset.drain_target) {
+        drain_target(at, incarnation{change.drain_target}, out);
+    } else if (change.__isset.leave_target) {
+        leave_target(at, incarnation{change.leave_target}, out);
+    } else if (change.__isset.join_node) {
+        join_node(at, change.join_node, out);
+    } else {
+        leave_node(at, incarnation{change.leave_node}, out);
+    }
+    drop_old_tombstones();
+    return out;
+}
+
+void table_state::skip_to(revision at) { revision_ = std::max(revision_, at); }
+
+void table_state::join_target(revision at, const wire::target_join& join, apply_outcome& out)
+{
+    const wire::target& wanted = join.value;
+    const endpoint agent = from_wire(wanted.agent);
+    const auto present = find_target(agent);
+    if (present) {
+        const wire::target& t = targets_.at(*present);
+        if (t.nonce == wanted.nonce && t.service_id == wanted.service_id) {
+            out.joined = present;
+            return;
+        }
+    }
+    out.refused = check_target(wanted);
+    if (!out.refused && !services_.contains(service_id{wanted.service_id})) {
+        out.refused = error{error_code::service_unknown,
+                            "service " + std::to_string(wanted.service_id) + " is not in the table"};
+    }
+    const bool replaces = join.__isset.replaces && targets_.contains(incarnation{join.replaces});
+    if (!out.refused && targets_.size() >= max_targets && !present && !replaces) {
+        out.refused =
+            error{error_code::table_full, "the table holds " + std::to_string(max_targets) + " targets"};
+    }
+    if (out.refused) {
+        return;
+    }
+    if (replaces) {
+        leave_target(at, incarnation{join.replaces}, out);
+    }
+    if (const auto former = find_target(agent)) {
+        leave_target(at, *former, out);
+    }
+    wire::target t = wanted;
+    t.incarnation = at.value;
+    t.revision = at.value;
+    put(t);
+    out.joined = incarnation{at.value};
+    if (std::ranges::find(out.touched, service_id{t.service_id}) == out.touched.end()) {
+        out.touched.push_back(service_id{t.service_id});
+    }
+}
+
+void table_state::drain_target(revision at, incarnation id, apply_outcome& out)
+{
+    const auto it = targets_.find(id);
+    if (it == targets_.end()) {
+        out.refused = unknown_id("target", id);
+        return;
+    }
+    if (it->second.draining) {
+        return;
+    }
+    wire::target t = it->second;
+    t.draining = true;
+    t.revision = at.value;
+    put(t);
+    out.touched.push_back(service_id{t.service_id});
+}
+
+void table_state::leave_target(revision at, incarnation id, apply_outcome& out)
+{
+    const auto it = targets_.find(id);
+    if (it == targets_.end()) {
+        out.refused = unknown_id("target", id);
+        return;
+    }
+    const service_id service{it->second.service_id};
+    bury(at, object_kind::target, id.value);
+    if (std::ranges::find(out.touched, service) == out.touched.end()) {
+        out.touched.push_back(service);
+    }
+}
+
+void table_state::join_node(revision at, const wire::node_join& join, apply_outcome& out)
+{
+    const endpoint control = from_wire(join.value.control);
+    const auto present = find_node(control);
+    if (present && nodes_.at(*present).nonce == join.value.nonce) {
+        out.joined = present;
+        return;
+    }
+    out.refused = check_node(join.value);
+    const bool replaces = join.__isset.replaces && nodes_.contains(incarnation{join.replaces});
+    if (!out.refused && nodes_.size() >= max_nodes && !present && !replaces) {
+        out.refused =
+            error{error_code::table_full, "the table holds " + std::to_string(max_nodes) + " nodes"};
+    }
+    if (out.refused) {
+        return;
+    }
+    if (replaces) {
+        bury(at, object_kind::node, join.replaces);
+    }
+    if (const auto former = find_node(control)) {
+        bury(at, object_kind::node, former->value);
+    }
+    wire::node n = join.value;
+    n.incarnation = at.value;
+    n.revision = at.value;
+    put(n);
+    out.joined = incarnation{at.value};
+}
+
+void table_state::leave_node(revision at, incarnation id, apply_outcome& out)
+{
+    if (nodes_.contains(id)) {
+        bury(at, object_kind::node, id.value);
+    } else {
+        out.refused = unknown_id("node", id);
+    }
+}
+
+void table_state::bury(revision at, object_kind kind, std::int64_t id)
+{
+    wire::tombstone t;
+    t.kind = static_cast<std::int8_t>(kind);
+    t.id = id;
+    t.revision = at.value;
+    remove(t);
+}
+
+void table_state::erase_live(const wire::service_entry& value)
+{
+    digest_ -= pvt::digest_of(value);
+    order_.erase(key_of(value));
+    const service_id id{value.id};
+    erase_if_names(by_name_, value.name, id);
+    for (const wire::endpoint& a : value.addresses) {
+        erase_if_names(by_address_, from_wire(a), id);
+    }
+}
+
+void table_state::erase_live(const wire::target& value)
+{
+    digest_ -= pvt::digest_of(value);
+    order_.erase(key_of(value));
+    const incarnation id{value.incarnation};
+    erase_if_names(target_at_, from_wire(value.agent), id);
+    if (const auto it = by_service_.find(service_id{value.service_id}); it != by_service_.end()) {
+        it->second.erase(id);
+        if (it->second.empty()) {
+            by_service_.erase(it);
+        }
+    }
+}
+
+void table_state::erase_live(const wire::node& value)
+{
+    digest_ -= pvt::digest_of(value);
+    order_.erase(key_of(value));
+    erase_if_names(node_at_, from_wire(value.control), incarnation{value.incarnation});
+}
+
+void table_state::put(const wire::service_entry& value)
+{
+    const service_id id{value.id};
+    if (const auto it = services_.find(id); it != services_.end()) {
+        erase_live(it->second);
+    }
+    services_.insert_or_assign(id, value);
+    digest_ += pvt::digest_of(value);
+    order_[key_of(value)] = false;
+    by_name_[value.name] = id;
+    for (const wire::endpoint& a : value.addresses) {
+        by_address_[from_wire(a)] = id;
+    }
+}
+
+void table_state::put(const wire::target& value)
+{
+    const incarnation id{value.incarnation};
+    if (const auto it = targets_.find(id); it != targets_.end()) {
+        erase_live(it->second);
+    }
+    targets_.insert_or_assign(id, value);
+    digest_ += pvt::digest_of(value);
+    order_[key_of(value)] = false;
+    target_at_[from_wire(value.agent)] = id;
+    by_service_[service_id{value.service_id}].insert(id);
+}
+
+void table_state::put(const wire::node& value)
+{
+    const incarnation id{value.incarnation};
+    if (const auto it = nodes_.find(id); it != nodes_.end()) {
+        erase_live(it->second);
+    }
+    nodes_.insert_or_assign(id, value);
+    digest_ += pvt::digest_of(value);
+    order_[key_of(value)] = false;
+    node_at_[from_wire(value.control)] = id;
+}
+
+void table_state::remove(const wire::tombstone& value)
+{
+    const auto erase_from = [this](auto& map, auto id) {
+        if (const auto it = map.find(id); it != map.end()) {
+            erase_live(it->second);
+            map.erase(it);
+        }
+    };
+    const auto kind = static_cast<object_kind>(value.kind);
+    switch (kind) {
+    case object_kind::service: erase_from(services_, service_id{value.id}); break;
+    case object_kind::target: erase_from(targets_, incarnation{value.id}); break;
+    case object_kind::node: erase_from(nodes_, incarnation{value.id}); break;
+    default: return;
+    }
+    const object_key key{value.revision, kind, value.id};
+    order_[key] = true;
+    tombstones_.insert(key);
+}
+
+void table_state::finish_pages(revision at, config_version version)
+{
+    revision_ = std::max(revision_, at);
+    version_ = std::max(version_, version);
+    drop_old_tombstones();
+    if (tombstones_.size() == max_tombstones) {
+        // Pages do not carry the sender's horizon, which is at most its oldest tombstone.
+        horizon_ = std::max(horizon_, revision{tombstones_.begin()->revision});
+    }
+}
+
+void table_state::drop_old_tombstones()
+{
+    while (tombstones_.size() > max_tombstones) {
+        const object_key oldest = *tombstones_.begin();
+        horizon_ = std::max(horizon_, revision{oldest.revision});
+        order_.erase(oldest);
+        tombstones_.erase(tombstones_.begin());
+    }
+}
+
+std::optional<service_id> table_state::find_service(std::string_view name) const
+{
+    return lookup(by_name_, name);
+}
+
+std::optional<incarnation> table_state::find_target(const endpoint& agent) const
+{
+    return lookup(target_at_, agent);
+}
+
+std::optional<incarnation> table_state::find_node(const endpoint& control) const
+{
+    return lookup(node_at_, control);
+}
+
+std::optional<service_id> table_state::find_address(const endpoint& address) const
+{
+    return lookup(by_address_, address);
+}
+
+std::vector<incarnation> table_state::targets_of(service_id service) const
+{
+    const auto it = by_service_.find(service);
+    return it == by_service_.end() ? std::vector<incarnation>{}
+                                   : std::vector<incarnation>(it->second.begin(), it->second.end());
+}
+
+}  // namespace peridotcleat
