Keep a second process from sharing an HTTP address

Cause: admin_server_test started a second server on a taken address and it succeeded: POCO's ServerSocket constructor sets SO_REUSEPORT, so that two processes would share the requests at random. Ruled out: SO_REUSEADDR, which alone does not allow a second listener on Linux. Conclusion: each address belongs to one process.

--- a/src/libperidotcleat/connection/forwarder.cpp
+++ b/src/libperidotcleat/connection/forwarder.cpp
@@ -96,9 +96,9 @@
                 continue;
             }
             route_decision decision;
-            const error_code code =
-                current ? prepare(*current, *packet, control, std::get<wire::forwarded_packet>(b.forwarded), decision)
-                        : error_code::no_target;
+            const error_code code = current ? prepare(*current, *packet, control,
+                                                      std::get<wire::forwarded_packet>(b.forwarded), decision)
+                                            : error_code::no_target;
             if (code != error_code::ok) {
                 counted->add(event::packets_dropped);
                 counted->refuse(code);
--- a/src/libperidotcleat/process/admin_server.cpp
+++ b/src/libperidotcleat/process/admin_server.cpp
@@ -127,7 +127,11 @@
 {
     auto state = std::make_unique<impl>(std::move(handle), threads + 1);
     try {
-        const Poco::Net::ServerSocket socket(to_socket_address(at));
+        // The constructor that takes an address also sets SO_REUSEPORT, so that a second process could take
+        // part of the requests.
+        Poco::Net::ServerSocket socket;
+        socket.bind(to_socket_address(at), true, false);
+        socket.listen();
         Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
         params->setMaxThreads(threads);
         params->setMaxQueued(256);
--- /dev/null
+++ b/src/libperidotcleat/process/admin_server_test.cpp
@@ -0,0 +1,111 @@
+#include "peridotcleat/admin_server.h"
+
+#include <gtest/gtest.h>
+
+#include "peridotcleat/counters.h"
+#include "peridotcleat/daemon.h"
+#include "peridotcleat/distribution.h"
+#include "peridotcleat/event_loop.h"
+
+namespace peridotcleat {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr endpoint http_at{0x7f000701U, 18100};
+
+// Guards against bodies, queries and status codes that get lost between server and client.
+TEST(admin_server, request_and_answer_arrive_whole)
+{
+    const auto server = admin_server::start(http_at, [](const admin_request& r) -> admin_response {
+        return {202, r.method + ' ' + r.path + ' ' + r.query("version") + ' ' + r.body};
+    });
+    ASSERT_TRUE(has_value(server));
+    const auto answer = http_call(http_at, "POST", "/v1/x?version=3", "body", 2s);
+    ASSERT_TRUE(has_value(answer));
+    EXPECT_EQ(value(answer).status, 202);
+    EXPECT_EQ(value(answer).body, "POST /v1/x 3 body");
+    // A second server on the address must fail, not take requests away.
+    const auto second = admin_server::start(http_at, [](const admin_request&) { return admin_response{}; });
+    ASSERT_FALSE(has_value(second));
+    EXPECT_EQ(failure(second).code, error_code::address_in_use);
+}
+
+// Guards against a body that fills the memory, and against a handler's exception that ends the process.
+TEST(admin_server, oversized_body_and_failing_handler_get_numbered_errors)
+{
+    const auto server = admin_server::start(
+        http_at, [](const admin_request&) -> admin_response { throw std::runtime_error("bad field"); });
+    ASSERT_TRUE(has_value(server));
+    const auto large = http_call(http_at, "POST", "/", std::string(admin_server::max_body + 1, 'x'), 5s);
+    ASSERT_TRUE(has_value(large));
+    EXPECT_EQ(value(large).status, 413);
+    EXPECT_NE(value(large).body.find("\"code\":301"), std::string::npos);
+    const auto failing = http_call(http_at, "GET", "/", "", 2s);
+    ASSERT_TRUE(has_value(failing));
+    EXPECT_EQ(value(failing).status, 400);
+}
+
+// Guards against "outcome unknown" for a request that provably never left, which would forbid a retry.
+TEST(http_call, refused_connection_is_proof_that_nothing_was_sent)
+{
+    const auto answer = http_call({0x7f000702U, 18101}, "POST", "/", "x", 1s);
+    ASSERT_FALSE(has_value(answer));
+    EXPECT_EQ(failure(answer).code, error_code::upstream_unreachable);
+}
+
+// Guards against messages, posted tasks and refusals that the loop drops, and against a loop that never ends.
+TEST(event_loop, delivers_messages_and_tasks_and_counts_bad_datagrams)
+{
+    counters counted;
+    const endpoint at{0x7f000701U, 18102};
+    auto loop = event_loop::create(at, cluster_id{1}, counted);
+    ASSERT_TRUE(has_value(loop));
+    event_loop& l = *value(loop);
+    std::int64_t seen = 0;
+    loop_handlers handlers;
+    handlers.on_message = [&](time_point, const endpoint& from, const message& m, outbox&) {
+        EXPECT_EQ(from, at);
+        seen = std::get<wire::stale_notice>(m).revision;
+        l.stop();
+    };
+    handlers.on_tick = [](time_point, outbox&) {};
+    l.post([&](time_point, outbox& out) {
+        wire::stale_notice n;
+        n.revision = 42;
+        out.send(at, n);
+    });
+    l.run(handlers);
+    EXPECT_EQ(seen, 42);
+    const auto second = event_loop::create(at, cluster_id{1}, counted);
+    ASSERT_FALSE(has_value(second));
+    EXPECT_EQ(failure(second).code, error_code::address_in_use);
+}
+
+// Guards against counters that are shown under a wrong reason.
+TEST(counters, refusals_and_retries_are_kept_apart_by_reason)
+{
+    counters c;
+    c.add(event::flows_opened, 3);
+    c.refuse(error_code::no_slot);
+    c.retry(error_code::no_slot);
+    c.retry(error_code::queue_full);
+    EXPECT_EQ(to_json(c),
+              R"({"flows_opened":3,"refused_no_slot":1,"retried_no_slot":1,"retried_queue_full":1})");
+}
+
+// Guards against quantiles that are read from the wrong bin.
+TEST(distribution, quantiles_are_upper_edges)
+{
+    distribution d(0.1, 1000, 200);
+    EXPECT_EQ(d.quantile(0.5), 0);
+    for (int i = 1; i <= 100; ++i) {
+        d.record(std::chrono::milliseconds(i));
+    }
+    EXPECT_EQ(d.count(), 100U);
+    EXPECT_NEAR(d.quantile(0.5), 50, 3);
+    EXPECT_NEAR(d.quantile(0.99), 99, 6);
+}
+
+}  // namespace
+}  // namespace peridotcleat
--- a/src/libperidotcleat/process/daemon.cpp
+++ b/src/libperidotcleat/process/daemon.cpp
@@ -73,14 +73,16 @@
     }
     d.check = s.flag("--check");
     if (d.listen.valid() && d.listen == d.admin) {
-        s.reject(error_code::invalid_setting, "--admin", to_string(d.admin), "an address other than --listen");
+        s.reject(error_code::invalid_setting, "--admin", to_string(d.admin),
+                 "an address other than --listen");
     }
     return d;
 }
 
 int report_failure(const error& e)
 {
-    std::cerr << "error=" << static_cast<int>(e.code) << " name=" << to_string(e.code) << ' ' << e.message << '\n';
+    std::cerr << "error=" << static_cast<int>(e.code) << " name=" << to_string(e.code) << ' ' << e.message
+              << '\n';
     return 1;
 }
 
--- a/src/libperidotcleat/process/message_test.cpp
+++ b/src/libperidotcleat/process/message_test.cpp
@@ -35,8 +35,8 @@
 {
     const auto m = decode(test_cluster, bytes);
     const auto c = decode_caller(bytes);
-    RC_ASSERT(has_value(m) || static_cast<int>(failure(m).code) >= 300);
-    RC_ASSERT(has_value(c) || static_cast<int>(failure(c).code) >= 300);
+    RC_ASSERT((has_value(m) || static_cast<int>(failure(m).code) >= 300));
+    RC_ASSERT((has_value(c) || static_cast<int>(failure(c).code) >= 300));
 }
 
 // Guards against truncated datagrams that pass for whole ones.
--- a/src/peridotcleat/main.cpp
+++ b/src/peridotcleat/main.cpp
@@ -322,7 +322,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv)
-{
-    return run_daemon(argc, argv, usage, "peridotcleat", run);
-}
+int main(int argc, char** argv) { return run_daemon(argc, argv, usage, "peridotcleat", run); }
