--- /dev/null
+++ b/src/libperidotcleat/request/answer_parts.cpp
@@ -0,0 +1,100 @@
+#include "peridotcleat/answer_parts.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "peridotcleat/hash.h"
+
+namespace peridotcleat {
+
+std::int64_t answer_checksum(const request_name& name, std::string_view body) noexcept
+{
+    // The name is part of the checksum, so that parts of another request never pass.
+    const std::uint64_t named =
+        combine(static_cast<std::uint64_t>(name.token.value), static_cast<std::uint64_t>(name.sequence));
+    return static_cast<std::int64_t>(combine(named, hash_bytes(body)));
+}
+
+std::int32_t part_count(std::size_t length, std::uint32_t part_bytes) noexcept
+{
+    return length == 0 ? 1 : static_cast<std::int32_t>((length + part_bytes - 1) / part_bytes);
+}
+
+wire::response_part make_part(const request_name& name, std::string_view body, std::int64_t checksum,
+                              std::int32_t index, std::uint32_t part_bytes)
+{
+    wire::response_part part;
+    part.token = name.token.value;
+    part.sequence = name.sequence;
+    part.index = index;
+    part.count = part_count(body.size(), part_bytes);
+    part.total_length = static_cast<std::int64_t>(body.size());
+    part.checksum = checksum;
+    part.bytes = body.substr(static_cast<std::size_t>(index) * part_bytes, part_bytes);
+    return part;
+}
+
+bool answer_assembly::acceptable(const wire::response_part& part) const noexcept
+{
+    if (part.index < 0 || part.index >= part.count || part.total_length < 0 ||
+        part.total_length > max_answer_bytes || part.count > std::max<std::int64_t>(part.total_length, 1)) {
+        return false;
+    }
+    return parts_.empty() || (static_cast<std::size_t>(part.count) == parts_.size() &&
+                              part.total_length == total_length_ && part.checksum == checksum_);
+}
+
+bool answer_assembly::add(const request_name& name, const wire::response_part& part)
+{
+    if (!acceptable(part)) {
+        return false;
+    }
+    if (parts_.empty()) {
+        parts_.resize(static_cast<std::size_t>(part.count));
+        present_.assign(parts_.size(), false);
+        total_length_ = part.total_length;
+        checksum_ = part.checksum;
+    }
+    const auto index = static_cast<std::size_t>(part.index);
+    if (!present_[index]) {
+        present_[index] = true;
+        parts_[index] = part.bytes;
+        ++received_;
+    }
+    return static_cast<std::size_t>(received_) == parts_.size() && finish(name);
+}
+
+bool answer_assembly::finish(const request_name& name)
+{
+    body_.clear();
+    body_.reserve(static_cast<std::size_t>(total_length_));
+    for (const std::string& p : parts_) {
+        body_ += p;
+    }
+    parts_.clear();
+    present_.clear();
+    received_ = 0;
+    if (static_cast<std::int64_t>(body_.size()) == total_length_ &&
+        answer_checksum(name, body_) == checksum_) {
+        return true;
+    }
+    body_.clear();
+    return false;
+}
+
+std::vector<std::int32_t> answer_assembly::missing() const
+{
+    std::vector<std::int32_t> indices;
+    for (std::size_t i = 0; i < present_.size() && std::cmp_less(indices.size(), parts_per_round); ++i) {
+        if (!present_[i]) {
+            indices.push_back(static_cast<std::int32_t>(i));
+        }
+    }
+    return indices;
+}
+
+bool answer_assembly::round_complete() const noexcept { return received_ % parts_per_round == 0; }
+
+std::string answer_assembly::take() { return std::exchange(body_, {}); }
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/request/caller.cpp
@@ -0,0 +1,437 @@
+#include "peridotcleat/caller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "peridotcleat/request_table.h"
+
+namespace peridotcleat {
+
+using pvt::caller_flow;
+using pvt::caller_request;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds longest_resend{2000};
+constexpr std::uint32_t max_attempts = 3;
+// Flows that may be opened for one request after its first attempt.
+constexpr std::uint32_t max_opens = 3;
+// Flows besides the first one that retries share.
+constexpr std::size_t max_retry_flows = 3;
+
+}  // namespace
+
+const char* to_string(request_status s) noexcept
+{
+    switch (s) {
+    case request_status::answered: return "answered";
+    case request_status::not_run: return "not_run";
+    case request_status::failed: return "failed";
+    case request_status::outcome_unknown: return "outcome_unknown";
+    }
+    return "unknown";
+}
+
+caller::caller(const caller_settings& settings, counters& counted, retry_budget budget)
+    : settings_(settings), counted_(&counted), budget_(budget), next_port_(settings.local.port),
+      random_state_(settings.seed)
+{
+}
+
+result<caller> caller::create(const caller_settings& settings, counters& counted)
+{
+    if (!settings.local.valid() || !settings.service.valid()) {
+        return error{error_code::invalid_setting, "local " + to_string(settings.local) + " or service " +
+                                                      to_string(settings.service) + " is not an endpoint"};
+    }
+    if (settings.resend_after.count() <= 0 || settings.open_timeout.count() <= 0) {
+        return error{error_code::invalid_setting, "resend_after and open_timeout are not above 0 ms"};
+    }
+    const auto budget = retry_budget::create(settings.retry_percent);
+    if (!has_value(budget)) {
+        return failure(budget);
+    }
+    return caller(settings, counted, value(budget));
+}
+
+std::uint64_t caller::submit(time_point now, new_request request, sends& out)
+{
+    const std::uint64_t id = next_id_++;
+    budget_.on_new_request();
+    caller_request& r = requests_[id];
+    r.submitted = now;
+    r.deadline = now + request.deadline;
+    r.content = std::move(request);
+    if (requests_.size() > settings_.max_requests) {
+        counted_->refuse(error_code::queue_full);
+        finish(now, id, request_status::not_run, error_code::queue_full, {});
+        return id;
+    }
+    place(now, id, out);
+    return id;
+}
+
+// Sends the request on its flow, or on the first one, if that flow is ready; it waits otherwise.
+void caller::place(time_point now, std::uint64_t id, sends& out)
+{
+    caller_request& r = requests_.at(id);
+    if (r.port != 0 && flow_at(r.port) != nullptr && flow_at(r.port)->draining) {
+        r.port = 0;
+    }
+    const std::uint16_t port = r.port != 0 ? r.port : first_;
+    caller_flow* flow = flow_at(port);
+    if (flow == nullptr || !usable(*flow)) {
+        return;
+    }
+    const std::int64_t lowest = flow->pending.empty() ? flow->next_sequence : flow->pending.begin()->first;
+    if (flow->next_sequence >= lowest + request_window) {
+        return;
+    }
+    r.port = port;
+    r.sequence = flow->next_sequence++;
+    r.tried.push_back(flow->target);
+    r.interval = settings_.resend_after;
+    flow->pending[r.sequence] = id;
+    send_request(now, r, out);
+}
+
+void caller::place_waiting(time_point now, std::uint16_t port, sends& out)
+{
+    for (auto& [id, r] : requests_) {
+        if (r.port == port && r.sequence == 0) {
+            place(now, id, out);
+        }
+    }
+}
+
+void caller::send_request(time_point now, caller_request& r, sends& out)
+{
+    caller_flow& flow = flows_.at(r.port);
+    flow.last_used = now;
+    r.next_send = now + r.interval + jittered(r.interval / 4);
+    r.interval = std::min(r.interval * 2, longest_resend);
+    if (r.answer.started()) {
+        wire::part_request m;
+        m.token = flow.token;
+        m.sequence = r.sequence;
+        m.missing = r.answer.missing();
+        send_message(r.port, m, out);
+        return;
+    }
+    if (r.cancelled) {
+        send_cancel(r, out);
+        return;
+    }
+    wire::request m;
+    m.incarnation = flow.target.value;
+    m.token = flow.token;
+    m.sequence = r.sequence;
+    m.settled_below = flow.pending.begin()->first;
+    m.idempotent = r.content.idempotent;
+    m.remaining_ms =
+        static_cast<std::int32_t>(std::chrono::duration_cast<milliseconds>(r.deadline - now).count());
+    m.method = r.content.method;
+    m.body = r.content.body;
+    send_message(r.port, m, out);
+}
+
+void caller::send_cancel(const caller_request& r, sends& out)
+{
+    const caller_flow& flow = flows_.at(r.port);
+    wire::request_cancel m;
+    m.incarnation = flow.target.value;
+    m.token = flow.token;
+    m.sequence = r.sequence;
+    send_message(r.port, m, out);
+}
+
+void caller::cancel(time_point now, std::uint64_t id, sends& out)
+{
+    const auto it = requests_.find(id);
+    if (it == requests_.end() || it->second.cancelled) {
+        return;
+    }
+    if (it->second.sequence == 0) {
+        finish_without_answer(now, id, error_code::cancelled);
+        return;
+    }
+    it->second.cancelled = true;
+    it->second.interval = settings_.resend_after;
+    send_request(now, it->second, out);
+}
+
+std::uint64_t caller::pending_id(std::uint16_t port, std::int64_t token, std::int64_t sequence)
+{
+    const caller_flow* flow = flow_with(port, token);
+    if (flow == nullptr) {
+        return 0;
+    }
+    const auto it = flow->pending.find(sequence);
+    return it == flow->pending.end() ? 0 : it->second;
+}
+
+void caller::acknowledge(std::uint16_t port, std::int64_t token, std::int64_t sequence, sends& out)
+{
+    const caller_flow* flow = flow_with(port, token);
+    if (flow == nullptr || sequence >= flow->next_sequence) {
+        return;
+    }
+    wire::part_request m;
+    m.token = token;
+    m.sequence = sequence;
+    send_message(port, m, out);
+}
+
+void caller::on_payload(time_point now, std::uint16_t port, std::string_view payload, sends& out)
+{
+    const auto decoded = decode_caller(payload);
+    if (!has_value(decoded)) {
+        counted_->refuse(failure(decoded).code);
+        return;
+    }
+    const caller_message& m = value(decoded);
+    if (const auto* a = std::get_if<wire::flow_open_ack>(&m)) {
+        on_open_ack(now, port, *a, out);
+        return;
+    }
+    if (const auto* f = std::get_if<wire::flow_refused>(&m)) {
+        on_refused(now, port, *f, out);
+        return;
+    }
+    std::visit(
+        [&](const auto& body) {
+            if constexpr (requires { body.token; }) {
+                if (caller_flow* flow = flow_with(port, body.token); flow != nullptr) {
+                    flow->last_heard = now;
+                    on_flow_message(now, port, m, out);
+                }
+            }
+        },
+        m);
+}
+
+void caller::on_flow_message(time_point now, std::uint16_t port, const caller_message& m, sends& out)
+{
+    if (const auto* p = std::get_if<wire::response_part>(&m)) {
+        on_part(now, port, *p, out);
+    } else if (const auto* r = std::get_if<wire::request_result>(&m)) {
+        on_result(now, port, *r, out);
+    } else if (const auto* q = std::get_if<wire::push>(&m)) {
+        flows_.at(port).last_used = now;
+        on_push(port, *q, out);
+    } else if (std::holds_alternative<wire::flow_draining>(m)) {
+        on_draining(now, port);
+    } else if (std::holds_alternative<wire::flow_reset>(m)) {
+        lose_flow(now, port, error_code::flow_unknown, out);
+    } else if (std::holds_alternative<wire::flow_close_ack>(m) &&
+               flows_.at(port).state == pvt::caller_flow_state::closing) {
+        release(port);
+    }
+}
+
+void caller::on_part(time_point now, std::uint16_t port, const wire::response_part& m, sends& out)
+{
+    const std::uint64_t id = pending_id(port, m.token, m.sequence);
+    if (id == 0) {
+        acknowledge(port, m.token, m.sequence, out);
+        return;
+    }
+    caller_request& r = requests_.at(id);
+    const request_name name{flow_token{m.token}, m.sequence};
+    if (r.answer.add(name, m)) {
+        acknowledge(port, m.token, m.sequence, out);
+        finish(now, id, request_status::answered, error_code::ok, r.answer.take());
+        return;
+    }
+    // The timer asks for parts that got lost; it must not fire while parts keep arriving.
+    r.interval = settings_.resend_after;
+    r.next_send = now + r.interval;
+    if (r.answer.started() && r.answer.round_complete()) {
+        send_request(now, r, out);
+    }
+}
+
+void caller::on_result(time_point now, std::uint16_t port, const wire::request_result& m, sends& out)
+{
+    const auto status = static_cast<wire_status>(m.status);
+    const auto reason = static_cast<error_code>(m.reason);
+    const std::uint64_t id = pending_id(port, m.token, m.sequence);
+    if (id == 0) {
+        if (status != wire_status::in_progress) {
+            acknowledge(port, m.token, m.sequence, out);
+        }
+        return;
+    }
+    if (status == wire_status::not_run &&
+        (reason == error_code::wrong_incarnation || reason == error_code::flow_unknown)) {
+        lose_flow(now, port, reason, out);
+        return;
+    }
+    if (status == wire_status::in_progress) {
+        // The target has the request; resends only probe for a lost answer now.
+        requests_.at(id).interval = longest_resend;
+        return;
+    }
+    acknowledge(port, m.token, m.sequence, out);
+    switch (status) {
+    case wire_status::not_run: on_not_run(now, id, reason, out); break;
+    case wire_status::failed: finish(now, id, request_status::failed, reason, {}); break;
+    default: on_unknown(now, id, reason, out);
+    }
+}
+
+void caller::on_not_run(time_point now, std::uint64_t id, error_code reason, sends& out)
+{
+    caller_request& r = requests_.at(id);
+    leave_flow(r);
+    r.refusal = reason;
+    if (!retry_elsewhere(now, id, reason, out)) {
+        finish_without_answer(now, id, reason);
+    }
+}
+
+void caller::on_unknown(time_point now, std::uint64_t id, error_code reason, sends& out)
+{
+    caller_request& r = requests_.at(id);
+    leave_flow(r);
+    r.may_have_run = true;
+    if (!r.content.idempotent || !retry_elsewhere(now, id, reason, out)) {
+        finish_without_answer(now, id, reason);
+    }
+}
+
+bool caller::retry_elsewhere(time_point now, std::uint64_t id, error_code reason, sends& out)
+{
+    caller_request& r = requests_.at(id);
+    if (r.cancelled || r.attempts >= max_attempts || now >= r.deadline) {
+        return false;
+    }
+    if (!budget_.try_take()) {
+        counted_->refuse(error_code::retry_budget_exhausted);
+        return false;
+    }
+    ++r.attempts;
+    counted_->retry(reason);
+    r.answer = {};
+    assign_other_flow(now, id, out);
+    return true;
+}
+
+void caller::assign_other_flow(time_point now, std::uint64_t id, sends& out)
+{
+    caller_request& r = requests_.at(id);
+    std::size_t others = 0;
+    for (const auto& [port, flow] : flows_) {
+        if (usable(flow) && std::find(r.tried.begin(), r.tried.end(), flow.target) == r.tried.end()) {
+            r.port = port;
+            place(now, id, out);
+            return;
+        }
+        others += port != first_ && port != next_first_ && !flow.draining &&
+                          flow.state != pvt::caller_flow_state::closing
+                      ? 1
+                      : 0;
+    }
+    if (others < max_retry_flows && r.opens < max_opens) {
+        ++r.opens;
+        r.port = start_flow(now, out);
+        return;
+    }
+    for (const auto& [port, flow] : flows_) {
+        if (port != first_ && (usable(flow) || flow.state == pvt::caller_flow_state::opening)) {
+            r.port = port;
+            place(now, id, out);
+            return;
+        }
+    }
+    finish_without_answer(now, id, r.refusal == error_code::ok ? error_code::no_target : r.refusal);
+}
+
+void caller::leave_flow(caller_request& r)
+{
+    if (caller_flow* flow = flow_at(r.port); flow != nullptr && r.sequence != 0) {
+        flow->pending.erase(r.sequence);
+    }
+    r.port = 0;
+    r.sequence = 0;
+}
+
+void caller::finish(time_point now, std::uint64_t id, request_status status, error_code reason,
+                    std::string body)
+{
+    const auto it = requests_.find(id);
+    leave_flow(it->second);
+    finished_.push_back({id, status, reason, std::move(body),
+                         std::chrono::duration_cast<milliseconds>(now - it->second.submitted)});
+    requests_.erase(it);
+}
+
+// Ends a request as `not_run` if no target can have run it, else as `outcome_unknown`.
+void caller::finish_without_answer(time_point now, std::uint64_t id, error_code reason)
+{
+    const caller_request& r = requests_.at(id);
+    const bool proof = r.sequence == 0 && !r.may_have_run;
+    finish(now, id, proof ? request_status::not_run : request_status::outcome_unknown, reason, {});
+}
+
+void caller::tick_request(time_point now, std::uint64_t id, sends& out)
+{
+    const auto it = requests_.find(id);
+    if (it == requests_.end()) {
+        return;
+    }
+    caller_request& r = it->second;
+    if (now >= r.deadline) {
+        if (r.sequence != 0 && !r.cancelled) {
+            send_cancel(r, out);
+        }
+        const error_code waited = r.attempts == 1 && r.port == 0 ? open_refusal_ : r.refusal;
+        const bool sent = r.sequence != 0 || r.may_have_run || waited == error_code::ok;
+        finish_without_answer(now, id, sent ? error_code::deadline_exceeded : waited);
+    } else if (r.sequence == 0) {
+        place(now, id, out);
+    } else if (r.next_send <= now) {
+        counted_->add(event::requests_resent);
+        send_request(now, r, out);
+    }
+}
+
+void caller::on_tick(time_point now, sends& out)
+{
+    std::vector<std::uint64_t> ids;
+    ids.reserve(requests_.size());
+    for (const auto& [id, r] : requests_) {
+        ids.push_back(id);
+    }
+    for (const std::uint64_t id : ids) {
+        tick_request(now, id, out);
+    }
+    std::vector<std::uint16_t> ports;
+    for (const auto& [port, flow] : flows_) {
+        ports.push_back(port);
+    }
+    for (const std::uint16_t port : ports) {
+        tick_flow(now, port, out);
+    }
+    const caller_flow* first = flow_at(first_);
+    if (wanted_open_ && next_first_ == 0 && now >= open_at_ && (first == nullptr || !usable(*first))) {
+        next_first_ = start_flow(now, out);
+    }
+}
+
+std::vector<finished_request> caller::take_finished() { return std::exchange(finished_, {}); }
+
+std::vector<std::string> caller::take_pushes() { return std::exchange(pushes_, {}); }
+
+std::vector<std::uint16_t> caller::take_released_ports() { return std::exchange(released_, {}); }
+
+bool caller::is_open() const noexcept
+{
+    const auto it = flows_.find(first_);
+    return it != flows_.end() && it->second.state == pvt::caller_flow_state::open;
+}
+
+incarnation caller::target() const noexcept { return is_open() ? flows_.at(first_).target : incarnation{}; }
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/request/request_table.cpp
@@ -0,0 +1,579 @@
+#include "peridotcleat/request_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "peridotcleat/answer_parts.h"
+
+namespace peridotcleat {
+
+using pvt::flow_records;
+using pvt::record_state;
+using pvt::request_record;
+
+namespace {
+
+constexpr std::chrono::milliseconds drain_notice_interval{1000};
+// Notices can be lost and are not acknowledged; a caller that misses all of them learns from a refusal.
+constexpr std::uint8_t drain_notices_per_flow = 3;
+
+bool in_progress_state(record_state s) noexcept
+{
+    return s == record_state::waiting || s == record_state::running;
+}
+
+wire_status status_of(record_state s) noexcept
+{
+    switch (s) {
+    case record_state::not_run: return wire_status::not_run;
+    case record_state::failed: return wire_status::failed;
+    case record_state::unknown: return wire_status::outcome_unknown;
+    default: return wire_status::in_progress;
+    }
+}
+
+wire::request_result make_result(const request_name& name, wire_status status, error_code reason)
+{
+    wire::request_result r;
+    r.token = name.token.value;
+    r.sequence = name.sequence;
+    r.status = static_cast<std::int8_t>(status);
+    r.reason = static_cast<std::int16_t>(reason);
+    return r;
+}
+
+}  // namespace
+
+request_table::request_table(const request_settings& settings, counters& counted,
+                             std::shared_ptr<admission> slots, service_id service)
+    : settings_(settings), counted_(&counted), slots_(std::move(slots)), service_(service)
+{
+}
+
+result<request_table> request_table::create(const request_settings& settings, counters& counted)
+{
+    auto slots = admission::create({settings.slots, settings.queue_per_slot, settings.ramp});
+    if (!has_value(slots)) {
+        return failure(slots);
+    }
+    return create(settings, counted, std::make_shared<admission>(std::move(value(slots))), service_id{1});
+}
+
+result<request_table> request_table::create(const request_settings& settings, counters& counted,
+                                            std::shared_ptr<admission> shared, service_id service)
+{
+    if (settings.part_bytes == 0) {
+        return error{error_code::invalid_setting, "part_bytes 0 is not at least 1"};
+    }
+    return request_table(settings, counted, std::move(shared), service);
+}
+
+void request_table::set_incarnation(incarnation id)
+{
+    if (id == incarnation_) {
+        return;
+    }
+    if (incarnation_.valid()) {
+        outbox dropped;
+        for (auto& [token, flow] : flows_) {
+            for (const auto& [sequence, record] : flow.records) {
+                drop_record({token, sequence}, record, dropped);
+            }
+        }
+        for (const upstream_cancel& c : dropped.cancels) {
+            late_cancels_.push_back(c.name);
+        }
+        flows_.clear();
+        pushing_.clear();
+    }
+    incarnation_ = id;
+    cold_ = true;
+}
+
+void request_table::on_flow_opened(time_point /*now*/, const flow_key& key, flow_token token)
+{
+    flows_[token].key = key;
+}
+
+void request_table::on_flow_closed(time_point now, flow_token token, outbox& out)
+{
+    const auto it = flows_.find(token);
+    if (it == flows_.end()) {
+        return;
+    }
+    for (const auto& [sequence, record] : it->second.records) {
+        drop_record({token, sequence}, record, out);
+    }
+    flows_.erase(it);
+    pushing_.erase(token);
+    start_waiting(now, out);
+}
+
+flow_records* request_table::find_flow(const flow_key& key, std::int64_t token)
+{
+    const auto it = flows_.find(flow_token{token});
+    return it != flows_.end() && it->second.key == key ? &it->second : nullptr;
+}
+
+request_record* request_table::find_record(const request_name& name)
+{
+    const auto flow = flows_.find(name.token);
+    if (flow == flows_.end()) {
+        return nullptr;
+    }
+    const auto it = flow->second.records.find(name.sequence);
+    return it == flow->second.records.end() ? nullptr : &it->second;
+}
+
+void request_table::on_payload(time_point now, const flow_key& key, const caller_message& m, outbox& out)
+{
+    if (std::exchange(cold_, false)) {
+        slots_->begin_ramp(now);
+    }
+    if (const auto* r = std::get_if<wire::request>(&m)) {
+        on_request(now, key, *r, out);
+    } else if (const auto* p = std::get_if<wire::part_request>(&m)) {
+        on_part_request(now, key, *p, out);
+    } else if (const auto* c = std::get_if<wire::request_cancel>(&m)) {
+        on_cancel(now, key, *c, out);
+    } else if (const auto* a = std::get_if<wire::push_ack>(&m)) {
+        on_push_ack(key, *a);
+    }
+}
+
+void request_table::on_request(time_point now, const flow_key& key, const wire::request& m, outbox& out)
+{
+    const request_name name{flow_token{m.token}, m.sequence};
+    flow_records* flow = find_flow(key, m.token);
+    if (m.incarnation != incarnation_.value || !incarnation_.valid() || flow == nullptr) {
+        // Nothing is recorded: a request that names another incarnation or no flow can never run here.
+        const auto reason =
+            m.incarnation != incarnation_.value ? error_code::wrong_incarnation : error_code::flow_unknown;
+        counted_->refuse(reason);
+        out.reply(key, make_result(name, wire_status::not_run, reason));
+        return;
+    }
+    if (m.settled_below > m.sequence) {
+        counted_->refuse(error_code::message_malformed);
+        return;
+    }
+    settle(name.token, *flow, m.settled_below, out);
+    if (m.sequence < flow->settled_below) {
+        counted_->refuse(error_code::duplicate_request);
+        return;
+    }
+    if (const auto it = flow->records.find(m.sequence); it != flow->records.end()) {
+        counted_->add(event::requests_resent);
+        send_state(now, key, name, it->second, out);
+        return;
+    }
+    if (m.sequence >= flow->settled_below + request_window) {
+        // A refusal would have to be recorded; without a reply the caller sends the request again later.
+        counted_->refuse(error_code::flow_limit);
+        return;
+    }
+    admit(now, name, *flow, m, out);
+    start_waiting(now, out);
+}
+
+error_code request_table::refuse_early(const wire::request& m) const
+{
+    if (draining_) {
+        return error_code::draining;
+    }
+    if (m.remaining_ms <= 0) {
+        return error_code::deadline_exceeded;
+    }
+    return answer_bytes_ > settings_.answer_memory ? error_code::queue_full : error_code::ok;
+}
+
+void request_table::admit(time_point now, const request_name& name, flow_records& flow,
+                          const wire::request& m, outbox& out)
+{
+    request_record& record = flow.records[name.sequence];
+    record.idempotent = m.idempotent;
+    record.deadline = now + std::chrono::milliseconds(m.remaining_ms);
+    const error_code early = refuse_early(m);
+    if (early != error_code::ok) {
+        refuse(now, name, early, out);
+        return;
+    }
+    const admission_answer answer =
+        slots_->offer(now, service_, name, std::chrono::milliseconds(m.remaining_ms));
+    if (answer.verdict == admission_verdict::refuse) {
+        refuse(now, name, answer.reason, out);
+        return;
+    }
+    counted_->add(event::requests_admitted);
+    record.method = m.method;
+    record.body = m.body;
+    if (answer.verdict == admission_verdict::start) {
+        start(now, name, record, out);
+    } else {
+        ++waiting_;
+    }
+}
+
+void request_table::start(time_point now, const request_name& name, request_record& record, outbox& out)
+{
+    record.state = record_state::running;
+    running_[name] = {now, record.deadline, false};
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(record.deadline - now);
+    out.calls.push_back(
+        {name, record.idempotent, left, std::exchange(record.method, {}), std::exchange(record.body, {})});
+}
+
+void request_table::start_waiting(time_point now, outbox& out)
+{
+    while (const auto name = slots_->next(now, service_)) {
+        request_record* record = find_record(*name);
+        if (record == nullptr) {
+            slots_->release(now, service_, error_code::cancelled, {});
+            continue;
+        }
+        --waiting_;
+        start(now, *name, *record, out);
+    }
+}
+
+void request_table::refuse(time_point now, const request_name& name, error_code reason, outbox& out)
+{
+    counted_->refuse(reason);
+    request_record* record = find_record(name);
+    if (record == nullptr) {
+        return;
+    }
+    finish(now, name, *record, record_state::not_run, reason, {}, out);
+    if (reason == error_code::draining) {
+        wire::flow_draining notice;
+        notice.token = name.token.value;
+        out.reply(flows_.at(name.token).key, notice);
+    }
+}
+
+void request_table::finish(time_point now, const request_name& name, request_record& record,
+                           record_state state, error_code reason, std::string body, outbox& out)
+{
+    record.state = state;
+    record.reason = reason;
+    record.method.clear();
+    record.body = std::move(body);
+    if (state == record_state::answered) {
+        counted_->add(event::requests_answered);
+        record.checksum = answer_checksum(name, record.body);
+        answer_bytes_ += record.body.size();
+    }
+    ++unacknowledged_;
+    finished_.push_back({name, now});
+    send_state(now, flows_.at(name.token).key, name, record, out);
+}
+
+void request_table::on_upstream_result(time_point now, const upstream_result& r, outbox& out)
+{
+    const auto it = running_.find(r.name);
+    if (it == running_.end()) {
+        counted_->refuse(error_code::duplicate_request);
+        return;
+    }
+    const auto took = now - it->second.started;
+    running_.erase(it);
+    slots_->release(now, service_, r.code, took);
+    if (request_record* record = find_record(r.name); record != nullptr) {
+        const bool too_large = r.body.size() > static_cast<std::size_t>(max_answer_bytes);
+        switch (r.code) {
+        case error_code::ok:
+            if (too_large) {
+                finish(now, r.name, *record, record_state::failed, error_code::message_too_large, {}, out);
+            } else {
+                finish(now, r.name, *record, record_state::answered, r.code, r.body, out);
+            }
+            break;
+        case error_code::upstream_unreachable:
+        case error_code::shed_by_upstream: refuse(now, r.name, r.code, out); break;
+        case error_code::upstream_failed:
+            finish(now, r.name, *record, record_state::failed, r.code, {}, out);
+            break;
+        default:
+            finish(now, r.name, *record, record_state::unknown,
+                   record->cancelled ? error_code::cancelled : error_code::outcome_unknown, {}, out);
+        }
+    }
+    start_waiting(now, out);
+}
+
+void request_table::cancel_upstream(const request_name& name, outbox& out)
+{
+    const auto it = running_.find(name);
+    if (it != running_.end() && !std::exchange(it->second.cancel_sent, true)) {
+        counted_->add(event::requests_cancelled);
+        out.cancels.push_back({name});
+    }
+}
+
+void request_table::on_cancel(time_point now, const flow_key& key, const wire::request_cancel& m, outbox& out)
+{
+    const request_name name{flow_token{m.token}, m.sequence};
+    flow_records* flow = find_flow(key, m.token);
+    if (m.incarnation != incarnation_.value || flow == nullptr) {
+        const auto reason =
+            m.incarnation != incarnation_.value ? error_code::wrong_incarnation : error_code::flow_unknown;
+        out.reply(key, make_result(name, wire_status::not_run, reason));
+        return;
+    }
+    if (m.sequence < flow->settled_below || m.sequence >= flow->settled_below + request_window) {
+        return;
+    }
+    // A cancellation that overtakes its request leaves a record, so that the request is refused later.
+    const auto [it, overtook] = flow->records.try_emplace(m.sequence);
+    request_record& record = it->second;
+    if (overtook) {
+        refuse(now, name, error_code::cancelled, out);
+    } else if (record.state == record_state::waiting) {
+        slots_->withdraw(service_, name);
+        --waiting_;
+        refuse(now, name, error_code::cancelled, out);
+    } else {
+        if (record.state == record_state::running) {
+            record.cancelled = true;
+            cancel_upstream(name, out);
+        }
+        send_state(now, key, name, record, out);
+    }
+}
+
+void request_table::on_part_request(time_point now, const flow_key& key, const wire::part_request& m,
+                                    outbox& out)
+{
+    const request_name name{flow_token{m.token}, m.sequence};
+    if (find_flow(key, m.token) == nullptr) {
+        return;
+    }
+    request_record* record = find_record(name);
+    if (record == nullptr || in_progress_state(record->state)) {
+        return;
+    }
+    if (m.missing.empty()) {
+        acknowledge(*record);
+        return;
+    }
+    if (record->state != record_state::answered || record->acknowledged) {
+        send_state(now, key, name, *record, out);
+        return;
+    }
+    record->sent = now;
+    const std::int32_t count = part_count(record->body.size(), settings_.part_bytes);
+    std::int32_t sent = 0;
+    for (const std::int32_t index : m.missing) {
+        if (index >= 0 && index < count && sent++ < parts_per_round) {
+            out.reply(key, make_part(name, record->body, record->checksum, index, settings_.part_bytes));
+        }
+    }
+    counted_->add(event::parts_resent, static_cast<std::uint64_t>(sent));
+}
+
+void request_table::acknowledge(request_record& record)
+{
+    if (std::exchange(record.acknowledged, true)) {
+        return;
+    }
+    --unacknowledged_;
+    answer_bytes_ -= record.state == record_state::answered ? record.body.size() : 0;
+    // The record itself stays: it keeps a delayed duplicate from running.
+    record.body = std::string();
+}
+
+void request_table::settle(flow_token token, flow_records& flow, std::int64_t below, outbox& out)
+{
+    if (below <= flow.settled_below) {
+        return;
+    }
+    flow.settled_below = below;
+    const auto end = flow.records.lower_bound(below);
+    for (auto it = flow.records.begin(); it != end; ++it) {
+        drop_record({token, it->first}, it->second, out);
+    }
+    flow.records.erase(flow.records.begin(), end);
+}
+
+void request_table::drop_record(const request_name& name, const request_record& record, outbox& out)
+{
+    if (record.state == record_state::waiting) {
+        slots_->withdraw(service_, name);
+        --waiting_;
+    } else if (record.state == record_state::running) {
+        // The slot stays in use until the upstream has answered.
+        cancel_upstream(name, out);
+    } else if (!record.acknowledged) {
+        --unacknowledged_;
+        answer_bytes_ -= record.state == record_state::answered ? record.body.size() : 0;
+    }
+}
+
+void request_table::send_state(time_point now, const flow_key& key, const request_name& name,
+                               request_record& record, outbox& out) const
+{
+    record.sent = now;
+    if (in_progress_state(record.state)) {
+        out.reply(key, make_result(name, wire_status::in_progress, error_code::duplicate_request));
+    } else if (record.state != record_state::answered) {
+        out.reply(key, make_result(name, status_of(record.state), record.reason));
+    } else if (record.acknowledged) {
+        // The answer is gone, because the caller has acknowledged it or its retention has passed.
+        out.reply(key, make_result(name, wire_status::outcome_unknown, error_code::answer_incomplete));
+    } else {
+        const std::int32_t count = part_count(record.body.size(), settings_.part_bytes);
+        for (std::int32_t i = 0; i < std::min(count, parts_per_round); ++i) {
+            out.reply(key, make_part(name, record.body, record.checksum, i, settings_.part_bytes));
+        }
+    }
+}
+
+void request_table::on_push_ack(const flow_key& key, const wire::push_ack& m)
+{
+    flow_records* flow = find_flow(key, m.token);
+    if (flow == nullptr || !flow->pushes) {
+        return;
+    }
+    flow->pushes->acknowledge(m.sequence);
+    if (flow->pushes->empty()) {
+        pushing_.erase(flow_token{m.token});
+    }
+}
+
+result<success> request_table::push(time_point now, flow_token token, std::string bytes, outbox& out)
+{
+    const auto it = flows_.find(token);
+    if (it == flows_.end()) {
+        return error{error_code::flow_unknown, "no flow with token " + std::to_string(token.value)};
+    }
+    if (!it->second.pushes) {
+        it->second.pushes = std::make_unique<push_sender>();
+    }
+    if (!it->second.pushes->add(now, std::move(bytes), settings_.push_queue)) {
+        counted_->refuse(error_code::queue_full);
+        return error{error_code::queue_full,
+                     std::to_string(settings_.push_queue) + " pushes wait for their acknowledgement"};
+    }
+    pushing_.insert(token);
+    send_pushes(now, token, it->second, out);
+    return success{};
+}
+
+void request_table::send_pushes(time_point now, flow_token token, flow_records& flow, outbox& out)
+{
+    std::vector<wire::push> due;
+    flow.pushes->due(now, token, due);
+    for (wire::push& p : due) {
+        out.reply(flow.key, std::move(p));
+    }
+}
+
+void request_table::on_tick(time_point now, outbox& out)
+{
+    if (std::exchange(cold_, false)) {
+        slots_->begin_ramp(now);
+    }
+    for (const request_name& name : std::exchange(late_cancels_, {})) {
+        out.cancels.push_back({name});
+    }
+    for (const flow_token token : pushing_) {
+        send_pushes(now, token, flows_.at(token), out);
+    }
+    enforce_deadlines(now, out);
+    drain_tick(now, out);
+    expire_answers(now);
+    start_waiting(now, out);
+}
+
+void request_table::enforce_deadlines(time_point now, outbox& out)
+{
+    std::vector<request_name> expired;
+    slots_->expire(now, service_, expired);
+    for (const request_name& name : expired) {
+        --waiting_;
+        refuse(now, name, error_code::deadline_exceeded, out);
+    }
+    for (const auto& [name, running] : running_) {
+        if (running.deadline <= now) {
+            cancel_upstream(name, out);
+        }
+    }
+}
+
+void request_table::expire_answers(time_point now)
+{
+    while (!finished_.empty() && finished_.front().when + settings_.answer_retention <= now) {
+        const finished_entry entry = finished_.front();
+        finished_.pop_front();
+        request_record* record = find_record(entry.name);
+        if (record == nullptr || record->acknowledged) {
+            continue;
+        }
+        if (record->sent + settings_.answer_retention > now) {
+            finished_.push_back({entry.name, record->sent});
+        } else {
+            acknowledge(*record);
+        }
+    }
+}
+
+void request_table::set_draining(bool draining)
+{
+    draining_ = draining;
+    draining_since_.reset();
+}
+
+void request_table::drain_tick(time_point now, outbox& out)
+{
+    if (!draining_) {
+        return;
+    }
+    if (!draining_since_) {
+        draining_since_ = now;
+        next_drain_notice_ = now;
+    }
+    if (now - *draining_since_ >= settings_.drain_queue && waiting_ > 0) {
+        for (const request_name& name : slots_->withdraw_all(service_)) {
+            --waiting_;
+            refuse(now, name, error_code::draining, out);
+        }
+    }
+    if (now < next_drain_notice_) {
+        return;
+    }
+    next_drain_notice_ = now + drain_notice_interval;
+    for (auto& [token, flow] : flows_) {
+        if (flow.drain_notices < drain_notices_per_flow) {
+            ++flow.drain_notices;
+            wire::flow_draining notice;
+            notice.token = token.value;
+            out.reply(flow.key, notice);
+        }
+    }
+    // Callers acknowledge what they get again, which tells this target that it may stop.
+    for (const finished_entry& f : finished_) {
+        request_record* record = find_record(f.name);
+        if (record != nullptr && !record->acknowledged) {
+            send_state(now, flows_.at(f.name.token).key, f.name, *record, out);
+        }
+    }
+}
+
+std::size_t request_table::in_progress() const noexcept { return waiting_ + running_.size(); }
+
+bool request_table::quiet(time_point now) const
+{
+    if (in_progress() > 0 || unacknowledged_ > 0) {
+        return false;
+    }
+    return std::all_of(pushing_.begin(), pushing_.end(), [&](flow_token token) {
+        return flows_.at(token).pushes->oldest() + settings_.answer_retention <= now;
+    });
+}
+
+std::uint32_t request_table::slots_in_use() const noexcept
+{
+    return static_cast<std::uint32_t>(running_.size());
+}
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/testing/fake_upstream.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "peridotcleat/outbox.h"
+#include "testing/fake_network.h"
+#include "testing/request_checker.h"
+
+namespace peridotcleat::testing {
+
+/// Behaviour of a stand-in for an upstream.
+struct upstream_behaviour {
+    std::uint32_t slots = 2;
+    std::chrono::milliseconds service_time{50};
+    /// Service time of each request varies by up to this share in both directions.
+    double spread = 0.5;
+    /// While it is cold, requests take this many times as long.
+    double cold_factor = 3;
+    std::chrono::milliseconds cold_time{2000};
+    /// Shares of requests that it sheds with free slots, that fail, and whose result gets lost.
+    double shed = 0;
+    double fail = 0;
+    double lose_result = 0;
+    std::size_t max_answer = 3000;
+    /// Queues without limit instead of shedding when its slots are in use.
+    bool unbounded_queue = false;
+};
+
+/// An upstream in virtual time. It tells the checker what it applies.
+class fake_upstream {
+public:
+    using result_handler = std::function<void(const upstream_result&)>;
+
+    fake_upstream(fake_network& net, request_checker& checker, const upstream_behaviour& behaviour)
+        : net_(&net), checker_(&checker), behaviour_(behaviour), cold_until_(net.now() + behaviour.cold_time)
+    {
+    }
+
+    upstream_behaviour& behaviour() noexcept { return behaviour_; }
+    [[nodiscard]] std::uint64_t applied() const noexcept { return applied_; }
+    [[nodiscard]] std::size_t running() const noexcept { return running_.size(); }
+
+    /// Starts the request, or refuses it. `done` gets the result, unless the upstream is down by then.
+    void call(const upstream_call& c, incarnation at, const result_handler& done)
+    {
+        if (down_) {
+            answer(c.name, error_code::upstream_unreachable, {}, done);
+        } else if (net_->chance(behaviour_.shed)) {
+            answer(c.name, error_code::shed_by_upstream, {}, done);
+        } else if (running_.size() < behaviour_.slots) {
+            run({c, at, done});
+        } else if (behaviour_.unbounded_queue) {
+            queue_.push_back({c, at, done});
+        } else {
+            answer(c.name, error_code::shed_by_upstream, {}, done);
+        }
+    }
+
+    /// Stops work on a request with a chance of a half; the upstream may ignore a cancellation.
+    void cancel(const request_name& name)
+    {
+        const auto it = running_.find(name);
+        if (it != running_.end() && net_->chance(0.5)) {
+            const result_handler done = it->second;
+            running_.erase(it);
+            answer(name, error_code::outcome_unknown, {}, done);
+        }
+    }
+
+    /// Loses what runs; the results of these requests are unknown.
+    void crash()
+    {
+        down_ = true;
+        for (const auto& [name, done] : running_) {
+            answer(name, error_code::outcome_unknown, {}, done);
+        }
+        for (const job& j : queue_) {
+            answer(j.call.name, error_code::outcome_unknown, {}, j.done);
+        }
+        running_.clear();
+        queue_.clear();
+    }
+    void start()
+    {
+        down_ = false;
+        cold_until_ = net_->now() + behaviour_.cold_time;
+    }
+
+private:
+    struct job {
+        upstream_call call;
+        incarnation at;
+        result_handler done;
+    };
+
+    void run(const job& j)
+    {
+        const request_key key = parse_request_body(j.call.body);
+        const std::size_t length = net_->random()() % (behaviour_.max_answer + 1);
+        checker_->ran(key, j.at, length);
+        ++applied_;
+        running_[j.call.name] = j.done;
+        const double part = static_cast<double>(net_->random()() >> 11U) * 0x1.0p-53;
+        double us = static_cast<double>(behaviour_.service_time.count()) * 1000 *
+                    (1 + behaviour_.spread * (2 * part - 1));
+        us *= net_->now() < cold_until_ ? behaviour_.cold_factor : 1;
+        const error_code code = net_->chance(behaviour_.fail)          ? error_code::upstream_failed
+                                : net_->chance(behaviour_.lose_result) ? error_code::outcome_unknown
+                                                                       : error_code::ok;
+        const std::uint64_t start = ++starts_;
+        started_[j.call.name] = start;
+        net_->at(
+            net_->now() + std::chrono::microseconds(static_cast<std::int64_t>(us)),
+            [this, name = j.call.name, code, key, length, start] {
+                const auto it = running_.find(name);
+                if (it == running_.end() || started_[name] != start) {
+                    return;
+                }
+                const result_handler done = it->second;
+                running_.erase(it);
+                started_.erase(name);
+                done({name, code, code == error_code::ok ? expected_answer(key, length) : std::string()});
+                if (!queue_.empty()) {
+                    const job next = queue_.front();
+                    queue_.pop_front();
+                    run(next);
+                }
+            });
+    }
+
+    void answer(const request_name& name, error_code code, std::string body, const result_handler& done)
+    {
+        net_->at(net_->now() + std::chrono::milliseconds(1), [name, code, body = std::move(body), done] {
+            done({name, code, body});
+        });
+    }
+
+    fake_network* net_;
+    request_checker* checker_;
+    upstream_behaviour behaviour_;
+    time_point cold_until_;
+    bool down_ = false;
+    std::uint64_t starts_ = 0;
+    std::uint64_t applied_ = 0;
+    std::map<request_name, result_handler> running_;
+    std::map<request_name, std::uint64_t> started_;
+    std::deque<job> queue_;
+};
+
+}  // namespace peridotcleat::testing
--- /dev/null
+++ b/src/testing/request_world.h
@@ -0,0 +1,421 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peridotcleat/caller.h"
+#include "peridotcleat/hash.h"
+#include "peridotcleat/request_table.h"
+#include "testing/fake_network.h"
+#include "testing/fake_upstream.h"
+#include "testing/request_checker.h"
+
+namespace peridotcleat::testing {
+
+/// Size and conditions of a run.
+struct world_settings {
+    std::uint64_t seed = 1;
+    std::size_t targets = 3;
+    std::size_t callers = 3;
+    request_settings requests;
+    caller_settings callers_with;
+    upstream_behaviour upstreams;
+    link_quality network;
+    std::chrono::milliseconds tick{25};
+};
+
+/// Targets with their upstreams, and callers, over a fake network. A directory that is always right stands in
+/// for balancers and agents: packets reach the target that holds the flow.
+class request_world {
+public:
+    explicit request_world(const world_settings& settings) : settings_(settings), net_(settings.seed)
+    {
+        settings_.callers_with.service = endpoint{0x7f000001, 80};
+        net_.set_tick_period(settings.tick);
+        net_.set_default_quality(settings.network);
+        for (std::size_t i = 0; i < settings.targets; ++i) {
+            targets_.push_back(std::make_unique<target_host>(
+                endpoint{0x7f000100U + static_cast<std::uint32_t>(i), std::uint16_t{9000}},
+                fake_upstream(net_, checker_, settings.upstreams)));
+            start_target(i);
+        }
+        for (std::size_t i = 0; i < settings.callers; ++i) {
+            add_caller(i);
+        }
+    }
+
+    request_world(const request_world&) = delete;
+    request_world& operator=(const request_world&) = delete;
+    request_world(request_world&&) = delete;
+    request_world& operator=(request_world&&) = delete;
+    ~request_world() = default;
+
+    fake_network& net() noexcept { return net_; }
+    request_checker& checker() noexcept { return checker_; }
+    fake_upstream& upstream(std::size_t i) { return targets_[i]->upstream; }
+    request_table& table(std::size_t i) { return *targets_[i]->table; }
+    caller& caller_at(std::size_t i) { return *callers_[i]->role; }
+    counters& caller_counters(std::size_t i) { return callers_[i]->counted; }
+    counters& target_counters() noexcept { return target_counted_; }
+    [[nodiscard]] std::size_t targets() const noexcept { return targets_.size(); }
+    [[nodiscard]] std::size_t callers() const noexcept { return callers_.size(); }
+    [[nodiscard]] bool is_up(std::size_t i) const { return net_.is_alive(targets_[i]->at); }
+    [[nodiscard]] std::uint64_t requests_of(std::size_t i) const { return callers_[i]->submitted; }
+    /// Sees each finished request.
+    void set_finish_handler(std::function<void(const finished_request&)> f) { on_finish_ = std::move(f); }
+
+    std::uint64_t submit(std::size_t i, bool idempotent, std::chrono::milliseconds deadline)
+    {
+        caller_host& c = *callers_[i];
+        const std::uint64_t id = ++c.submitted;
+        const request_key key{static_cast<std::uint32_t>(i), id};
+        checker_.submitted(key, idempotent);
+        std::vector<caller_send> out;
+        c.role->submit(net_.now(), {"work", request_body(key), idempotent, deadline}, out);
+        send(c, out);
+        return id;
+    }
+    void cancel(std::size_t i, std::uint64_t id)
+    {
+        checker_.cancelled({static_cast<std::uint32_t>(i), id});
+        std::vector<caller_send> out;
+        callers_[i]->role->cancel(net_.now(), id, out);
+        send(*callers_[i], out);
+    }
+
+    /// Ends a target at once, and loses its flows. Its upstream goes on.
+    void crash_target(std::size_t i)
+    {
+        net_.remove(targets_[i]->at);
+        ++targets_[i]->generation;
+        forget_flows(i);
+    }
+    /// Starts a target as a new incarnation.
+    void start_target(std::size_t i)
+    {
+        target_host& t = *targets_[i];
+        ++t.generation;
+        t.id = incarnation{++last_incarnation_};
+        t.draining = false;
+        t.pushed.clear();
+        t.table = std::make_unique<request_table>(
+            value(request_table::create(settings_.requests, target_counted_)));
+        t.table->set_incarnation(t.id);
+        net_.add(
+            t.at,
+            [this, i](time_point now, auto&, const message& m, outbox& out) {
+                on_packet(now, i, std::get<wire::caller_packet>(m), out);
+            },
+            [this, i](time_point now, outbox& out) { tick_target(now, i, out); },
+            [this, i](time_point now, outbox& out) { perform(now, i, out); });
+    }
+    /// Drains a target and stops it once it is quiet.
+    void drain_target(std::size_t i)
+    {
+        targets_[i]->draining = true;
+        targets_[i]->table->set_draining(true);
+    }
+    [[nodiscard]] bool is_draining(std::size_t i) const { return targets_[i]->draining; }
+
+    /// Pushes the next number over a flow of the target, if it holds one.
+    void push(std::size_t i)
+    {
+        target_host& t = *targets_[i];
+        if (t.flows.empty() || !is_up(i)) {
+            return;
+        }
+        auto it = t.flows.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(net_.random()() % t.flows.size()));
+        outbox out;
+        std::uint64_t& number = t.pushed[it->second.token];
+        const std::string text = push_flow(t, it->second.token) + ':' + std::to_string(number + 1);
+        if (has_value(t.table->push(net_.now(), flow_token{it->second.token}, text, out))) {
+            ++number;
+        }
+        net_.dispatch(t.at, out);
+    }
+
+    /// Keeps a copy of each request that a target gets with chance `p`, and delivers it in `after`.
+    void keep_back(double p, std::chrono::milliseconds after)
+    {
+        keep_chance_ = p;
+        keep_time_ = after;
+    }
+    /// Requests reach a wrong target with this chance.
+    void misroute(double p) { misroute_ = p; }
+
+    /// Checks what must hold once everything is finished and the network is quiet.
+    void check_end()
+    {
+        checker_.end_of_run();
+        for (std::size_t i = 0; i < callers_.size(); ++i) {
+            checker_.retries(static_cast<std::uint32_t>(i), callers_[i]->submitted, retries_of(i),
+                             settings_.callers_with.retry_percent);
+        }
+        for (std::size_t i = 0; i < targets_.size(); ++i) {
+            target_host& t = *targets_[i];
+            for (const auto& [key, flow] : t.flows) {
+                if (is_up(i) && t.table->quiet(net_.now())) {
+                    checker_.all_pushed(push_flow(t, flow.token), t.pushed[flow.token]);
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] std::uint64_t retries_of(std::size_t i) const
+    {
+        std::uint64_t n = 0;
+        for (const auto& [name, count] : callers_[i]->counted.snapshot()) {
+            n += name.starts_with("retried_") ? count : 0;
+        }
+        return n;
+    }
+
+private:
+    struct held_flow {
+        std::int64_t nonce = 0;
+        std::int64_t token = 0;
+    };
+
+    struct target_host {
+        target_host(const endpoint& e, fake_upstream u) : at(e), upstream(std::move(u)) {}
+
+        endpoint at;
+        fake_upstream upstream;
+        std::unique_ptr<request_table> table;
+        incarnation id;
+        std::uint64_t generation = 0;
+        bool draining = false;
+        std::map<flow_key, held_flow> flows;
+        std::map<std::int64_t, std::uint64_t> pushed;
+    };
+
+    struct caller_host {
+        std::uint32_t number = 0;
+        endpoint at;
+        counters counted;
+        std::unique_ptr<caller> role;
+        std::uint64_t submitted = 0;
+    };
+
+    static std::string push_flow(const target_host& t, std::int64_t token)
+    {
+        return std::to_string(t.id.value) + '.' + std::to_string(token);
+    }
+
+    void add_caller(std::size_t i)
+    {
+        callers_.push_back(std::make_unique<caller_host>());
+        caller_host& c = *callers_.back();
+        c.number = static_cast<std::uint32_t>(i);
+        c.at = endpoint{0x7f010000U + c.number, 1};
+        caller_settings s = settings_.callers_with;
+        s.local = endpoint{c.at.address, 20000};
+        s.seed = settings_.seed * 1000 + i;
+        c.role = std::make_unique<caller>(value(caller::create(s, c.counted)));
+        net_.add(
+            c.at,
+            [this, &c](time_point now, auto&, const message& m, outbox&) {
+                const auto& p = std::get<wire::return_packet>(m);
+                std::vector<caller_send> out;
+                c.role->on_payload(now, from_wire(p.key).source.port, p.payload, out);
+                send(c, out);
+            },
+            [this, &c](time_point now, outbox&) {
+                std::vector<caller_send> out;
+                c.role->on_tick(now, out);
+                send(c, out);
+            });
+        std::vector<caller_send> out;
+        c.role->open(net_.now(), out);
+        send(c, out);
+    }
+
+    void send(caller_host& c, const std::vector<caller_send>& sends)
+    {
+        for (const caller_send& s : sends) {
+            const flow_key key{{c.at.address, s.port}, settings_.callers_with.service, 17};
+            wire::caller_packet p;
+            p.key = to_wire(key);
+            p.payload = s.payload;
+            net_.send(c.at, route(key), p);
+        }
+        for (const finished_request& f : c.role->take_finished()) {
+            checker_.finished(c.number, f);
+            if (on_finish_) {
+                on_finish_(f);
+            }
+        }
+        for (const std::string& text : c.role->take_pushes()) {
+            checker_.pushed(text);
+        }
+        (void)c.role->take_released_ports();
+    }
+
+    // The holder of the flow, or a target that takes new flows.
+    endpoint route(const flow_key& key)
+    {
+        if (net_.chance(misroute_)) {
+            return targets_[net_.random()() % targets_.size()]->at;
+        }
+        if (const auto it = directory_.find(key); it != directory_.end()) {
+            return targets_[it->second]->at;
+        }
+        const std::size_t start = hash_of(key) % targets_.size();
+        for (std::size_t n = 0; n < targets_.size(); ++n) {
+            const std::size_t i = (start + n) % targets_.size();
+            if (is_up(i) && !targets_[i]->draining) {
+                return targets_[i]->at;
+            }
+        }
+        return targets_[start]->at;
+    }
+
+    void forget_flows(std::size_t i)
+    {
+        for (const auto& [key, flow] : targets_[i]->flows) {
+            if (const auto it = directory_.find(key); it != directory_.end() && it->second == i) {
+                directory_.erase(it);
+            }
+        }
+        targets_[i]->flows.clear();
+    }
+
+    void on_packet(time_point now, std::size_t i, const wire::caller_packet& p, outbox& out)
+    {
+        target_host& t = *targets_[i];
+        const flow_key key = from_wire(p.key);
+        const caller_message m = value(decode_caller(p.payload));
+        if (std::holds_alternative<wire::request>(m) && net_.chance(keep_chance_)) {
+            const auto extra = std::chrono::milliseconds(net_.random()() % (keep_time_.count() + 1));
+            net_.at(now + extra, [this, p, key] { net_.send(endpoint{}, route(key), p); });
+        }
+        const auto flow = t.flows.find(key);
+        if (const auto* o = std::get_if<wire::flow_open>(&m)) {
+            open_flow(now, i, key, o->nonce, out);
+        } else if (const auto* c = std::get_if<wire::flow_close>(&m)) {
+            if (flow != t.flows.end() && flow->second.token == c->token) {
+                close_flow(now, i, key, out);
+            }
+            wire::flow_close_ack ack;
+            ack.token = c->token;
+            out.reply(key, ack);
+        } else if (flow == t.flows.end() && !(std::holds_alternative<wire::request>(m) && net_.chance(0.5))) {
+            reset(t, key, m, out);
+        } else if (const auto* k = std::get_if<wire::flow_keepalive>(&m)) {
+            out.reply(key, *k);
+        } else {
+            t.table->on_payload(now, key, m, out);
+        }
+    }
+
+    // Reports a flow that does not exist, as an agent with a complete directory does.
+    static void reset(const target_host& t, const flow_key& key, const caller_message& m, outbox& out)
+    {
+        std::visit(
+            [&](const auto& body) {
+                if constexpr (requires { body.token; }) {
+                    wire::flow_reset r;
+                    r.incarnation = t.id.value;
+                    r.token = body.token;
+                    out.reply(key, r);
+                }
+            },
+            m);
+    }
+
+    void open_flow(time_point now, std::size_t i, const flow_key& key, std::int64_t nonce, outbox& out)
+    {
+        target_host& t = *targets_[i];
+        const auto it = t.flows.find(key);
+        if (it == t.flows.end() || it->second.nonce != nonce) {
+            if (t.draining) {
+                wire::flow_refused refused;
+                refused.nonce = nonce;
+                refused.reason = static_cast<std::int16_t>(error_code::draining);
+                out.reply(key, refused);
+                return;
+            }
+            close_flow(now, i, key, out);
+            t.flows[key] = {nonce, ++last_token_};
+            directory_[key] = i;
+            t.table->on_flow_opened(now, key, flow_token{last_token_});
+        }
+        wire::flow_open_ack ack;
+        ack.nonce = nonce;
+        ack.incarnation = t.id.value;
+        ack.token = t.flows[key].token;
+        out.reply(key, ack);
+    }
+
+    void close_flow(time_point now, std::size_t i, const flow_key& key, outbox& out)
+    {
+        target_host& t = *targets_[i];
+        const auto it = t.flows.find(key);
+        if (it == t.flows.end()) {
+            return;
+        }
+        t.table->on_flow_closed(now, flow_token{it->second.token}, out);
+        t.flows.erase(it);
+        if (const auto d = directory_.find(key); d != directory_.end() && d->second == i) {
+            directory_.erase(d);
+        }
+    }
+
+    void tick_target(time_point now, std::size_t i, outbox& out)
+    {
+        target_host& t = *targets_[i];
+        t.table->on_tick(now, out);
+        if (t.draining && t.table->quiet(now)) {
+            checker_.planned_stop(t.id, t.table->in_progress());
+            t.draining = false;
+            crash_target(i);
+        }
+    }
+
+    void perform(time_point /*now*/, std::size_t i, outbox& out)
+    {
+        target_host& t = *targets_[i];
+        for (const caller_reply& r : out.replies) {
+            wire::return_packet p;
+            p.key = to_wire(r.key);
+            p.payload = encode(r.body);
+            net_.send(t.at, endpoint{r.key.source.address, 1}, p);
+        }
+        for (const upstream_call& c : out.calls) {
+            t.upstream.call(c, t.id, [this, i, generation = t.generation](const upstream_result& r) {
+                target_host& host = *targets_[i];
+                if (host.generation != generation) {
+                    return;
+                }
+                outbox results;
+                host.table->on_upstream_result(net_.now(), r, results);
+                net_.dispatch(host.at, results);
+            });
+        }
+        for (const upstream_cancel& c : out.cancels) {
+            t.upstream.cancel(c.name);
+        }
+    }
+
+    world_settings settings_;
+    fake_network net_;
+    request_checker checker_;
+    counters target_counted_;
+    std::vector<std::unique_ptr<target_host>> targets_;
+    std::vector<std::unique_ptr<caller_host>> callers_;
+    std::map<flow_key, std::size_t> directory_;
+    std::function<void(const finished_request&)> on_finish_;
+    std::int64_t last_incarnation_ = 0;
+    std::int64_t last_token_ = 0;
+    double keep_chance_ = 0;
+    std::chrono::milliseconds keep_time_{0};
+    double misroute_ = 0;
+};
+
+}  // namespace peridotcleat::testing
