Test the replicated table with random changes

Sixty seeds of 250 changes from small pools, so that clashes, replacements, refusals and late retries are frequent. After each change an outside watcher compares answers, ids, addresses and the digest with its own record.

--- /dev/null
+++ b/src/libperidotcleat/version/table_state_test.cpp
@@ -0,0 +1,376 @@
+#include "peridotcleat/table_state.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "testing/table_source.h"
+
+namespace peridotcleat {
+namespace {
+
+using testing::change_source;
+using testing::make_operation;
+using testing::make_patch;
+using testing::make_service;
+using testing::make_target_join;
+using testing::next_revision;
+using testing::operation;
+
+wall_time at_ms(std::int64_t ms) { return wall_time{std::chrono::milliseconds(ms)}; }
+
+std::string bytes_of(const table_state& table) { return encode_struct(table.snapshot()); }
+
+// Applies the objects of a full delta to an empty table, in one page.
+table_state rebuilt(const table_state& table)
+{
+    table_state copy;
+    const auto page = table.delta({}, true, 1U << 24U);
+    EXPECT_TRUE(page.complete);
+    std::ranges::for_each(page.services, [&](const auto& v) { copy.put(v); });
+    std::ranges::for_each(page.targets, [&](const auto& v) { copy.put(v); });
+    std::ranges::for_each(page.nodes, [&](const auto& v) { copy.put(v); });
+    return copy;
+}
+
+// Watches a table from outside, and checks after each change what must hold whatever the changes are.
+class table_watch {
+public:
+    void check(const table_state& table, const wire::change& change, const apply_outcome& out)
+    {
+        check_objects(table);
+        check_addresses(table, change.time_ms);
+        if (out.refused) {
+            EXPECT_EQ(table.digest(), digest_) << out.refused->message;
+            EXPECT_TRUE(out.touched.empty());
+        }
+        if (out.joined && !incarnations_.contains(*out.joined)) {
+            EXPECT_EQ(out.joined->value, table.current_revision().value);
+            incarnations_.insert(*out.joined);
+        }
+        if (out.patch) {
+            check_answer(change.new_patch, *out.patch, table);
+        }
+        digest_ = table.digest();
+    }
+
+    // Checks a new answer to a patch against all that it was told before.
+    void check_answer(const wire::patch& patch, const patch_answer& answer, const table_state& table)
+    {
+        const std::string content = encode_struct(patch);
+        if (answer.status == patch_status::accepted) {
+            EXPECT_TRUE(winners_.emplace(patch.base, content).second) << "two winners on base " << patch.base;
+            EXPECT_EQ(answer.version.value, patch.base + 1);
+            EXPECT_EQ(answer.version, table.version());
+            EXPECT_EQ(answer.at, table.current_revision());
+        }
+        auto& told = told_[content];
+        if (!told.empty()) {
+            EXPECT_TRUE(may_follow(told.back(), answer))
+                << patch.patch_id << ": " << to_string(told.back().status) << " then "
+                << to_string(answer.status);
+        }
+        if (told.empty() || answer.status != patch_status::outcome_unknown) {
+            told.push_back(answer);
+        }
+    }
+
+    [[nodiscard]] std::size_t patches_told() const { return told_.size(); }
+    [[nodiscard]] wire::patch patch_told(std::size_t index) const
+    {
+        return value(decode_struct<wire::patch>(std::next(told_.begin(), std::ptrdiff_t(index))->first));
+    }
+
+private:
+    static bool may_follow(const patch_answer& before, const patch_answer& now)
+    {
+        if (now.status == patch_status::outcome_unknown) {
+            return true;
+        }
+        switch (before.status) {
+        case patch_status::accepted:
+        case patch_status::already_accepted:
+            return now.status == patch_status::already_accepted && now.version == before.version &&
+                   now.at == before.at;
+        case patch_status::conflict:
+        case patch_status::invalid:
+            return now.status == patch_status::conflict || now.status == patch_status::invalid;
+        default: return now.status != patch_status::already_accepted;
+        }
+    }
+
+    void check_objects(const table_state& table)
+    {
+        EXPECT_EQ(rebuilt(table).digest(), table.digest());
+        for (const auto& [id, s] : table.services()) {
+            EXPECT_EQ(table.find_service(s.name), id);
+            const auto [it, added] = names_.emplace(id, s.name);
+            EXPECT_EQ(it->second, s.name) << "service id used again";
+            if (added) {
+                EXPECT_GT(id, last_service_) << "service id used again";
+                last_service_ = id;
+            }
+        }
+        for (const auto& [id, t] : table.targets()) {
+            EXPECT_TRUE(table.services().contains(service_id{t.service_id}));
+            EXPECT_EQ(table.find_target(from_wire(t.agent)), id);
+            EXPECT_TRUE(std::ranges::count(table.targets_of(service_id{t.service_id}), id) == 1);
+        }
+    }
+
+    void check_addresses(const table_state& table, std::int64_t now)
+    {
+        std::map<endpoint, service_id> owners;
+        for (const auto& [id, s] : table.services()) {
+            for (const auto& a : s.addresses) {
+                EXPECT_TRUE(owners.emplace(from_wire(a), id).second) << "address of two services";
+            }
+        }
+        for (const auto& [address, id] : owners_) {
+            if (!owners.contains(address)) {
+                left_[address] = {id, now};
+            }
+        }
+        for (const auto& [address, id] : owners) {
+            const auto before = owners_.find(address);
+            EXPECT_TRUE(before == owners_.end() || before->second == id) << "address moved in one change";
+            const auto it = left_.find(address);
+            if (before == owners_.end() && it != left_.end() && it->second.first != id) {
+                EXPECT_GE(now - it->second.second, 60'000) << "address taken from quarantine";
+            }
+        }
+        owners_ = std::move(owners);
+    }
+
+    std::uint64_t digest_ = 0;
+    std::set<incarnation> incarnations_;
+    std::map<service_id, std::string> names_;
+    service_id last_service_;
+    std::map<endpoint, service_id> owners_;
+    std::map<endpoint, std::pair<service_id, std::int64_t>> left_;
+    std::map<std::int64_t, std::string> winners_;
+    std::map<std::string, std::vector<patch_answer>> told_;
+};
+
+// Guards against two winners on one base, answers that later ones contradict, service ids and incarnations
+// that come back, addresses that two services share or that are taken within 60 s, targets without service,
+// refused changes that change something, a digest that drifts, and a snapshot that loses state.
+TEST(table_state, random_changes_keep_all_invariants)
+{
+    for (std::uint64_t seed = 1; seed <= testing::seed_count(60); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        change_source source(seed);
+        table_watch watch;
+        table_state table;
+        table_state plain;  // the same changes without snapshots in between
+        for (int step = 0; step < 250 && !::testing::Test::HasFailure(); ++step) {
+            wire::change change = source.next(table);
+            if (watch.patches_told() > 0 && source.below(5) == 0) {
+                change = make_patch(source.time_ms(), {}, 0, {});
+                change.new_patch = watch.patch_told(source.below(watch.patches_told()));
+            }
+            std::optional<patch_answer> expected;
+            if (change.__isset.new_patch) {
+                expected = table.check(change.new_patch, at_ms(change.time_ms));
+            }
+            const revision at = next_revision(table);
+            const auto out = table.apply(at, change);
+            plain.apply(at, change);
+            watch.check(table, change, out);
+            if (expected) {
+                EXPECT_EQ(expected->status, out.patch->status);
+                EXPECT_EQ(expected->version, out.patch->version);
+            }
+            if (source.below(10) == 0) {
+                const auto decoded = decode_struct<wire::table_snapshot>(bytes_of(table));
+                auto restored = table_state::from_snapshot(value(decoded));
+                ASSERT_TRUE(has_value(restored)) << failure(restored).message;
+                table = value(std::move(restored));
+            }
+        }
+        ASSERT_EQ(bytes_of(table), bytes_of(plain));
+        ASSERT_EQ(table.digest(), plain.digest());
+    }
+}
+
+// Guards against answers that turn false once the records of old patches are evicted: a patch that was
+// accepted must never be told that it lost, and never be applied again.
+TEST(table_state, answers_stay_true_after_eviction)
+{
+    table_state table;
+    const auto patch_of = [](std::int64_t base, const std::string& id) {
+        auto value = make_service("a", {{0x7f000001U, 80}});
+        value.__set_ramp_ms(static_cast<std::int32_t>(base));
+        return make_patch(1, id, base,
+                          {make_operation(base == 0 ? operation::add : operation::change, value)});
+    };
+    constexpr std::int64_t count = table_state::max_patch_records + 100;
+    for (std::int64_t base = 0; base < count; ++base) {
+        const auto out = table.apply(next_revision(table), patch_of(base, "p" + std::to_string(base)));
+        ASSERT_EQ(out.patch->status, patch_status::accepted) << out.patch->reason.message;
+    }
+    const auto restored = value(table_state::from_snapshot(table.snapshot()));
+    for (const table_state* t : {&std::as_const(table), &restored}) {
+        const auto answer = [t](const wire::change& c) { return t->check(c.new_patch, at_ms(2)); };
+        EXPECT_EQ(t->patches().size(), table_state::max_patch_records);
+        EXPECT_EQ(answer(patch_of(99, "p99")).status, patch_status::outcome_unknown);
+        EXPECT_EQ(answer(patch_of(99, "rival")).status, patch_status::outcome_unknown);
+        EXPECT_EQ(answer(patch_of(100, "p100")).status, patch_status::already_accepted);
+        EXPECT_EQ(answer(patch_of(100, "p100")).version.value, 101);
+        EXPECT_EQ(answer(patch_of(100, "rival")).status, patch_status::conflict);
+        EXPECT_EQ(answer(patch_of(100, "rival")).version.value, count);
+        EXPECT_EQ(answer(patch_of(count, "p100")).status, patch_status::invalid);
+        EXPECT_EQ(answer(patch_of(count, "p100")).reason.code, error_code::patch_id_reused);
+        // An evicted id may be used again; the former patch of this id is still not confirmed as lost.
+        EXPECT_EQ(answer(patch_of(count, "p99")).status, patch_status::accepted);
+    }
+    table.apply(next_revision(table), patch_of(count, "p99"));
+    EXPECT_NE(table.check(patch_of(99, "p99").new_patch, at_ms(2)).status, patch_status::accepted);
+    EXPECT_NE(table.check(patch_of(99, "p99").new_patch, at_ms(2)).status, patch_status::conflict);
+}
+
+// Guards against reasons that do not name the field at fault, and against patches that are applied in part.
+TEST(table_state, refused_patches_name_the_field_and_change_nothing)
+{
+    table_state table;
+    const endpoint one{0x7f000001U, 80};
+    const endpoint two{0x7f000001U, 81};
+    table.apply(
+        next_revision(table),
+        make_patch(1000, "first", 0, {make_operation(operation::add, make_service("a", {one, two}))}));
+    const auto refuse = [&](std::vector<wire::patch_operation> operations, patch_status status,
+                            error_code code, const std::string& field) {
+        const std::uint64_t digest = table.digest();
+        const auto out = table.apply(next_revision(table),
+                                     make_patch(2000, "next", table.version().value, std::move(operations)));
+        EXPECT_EQ(out.patch->status, status) << out.patch->reason.message;
+        EXPECT_EQ(out.patch->reason.code, code) << out.patch->reason.message;
+        EXPECT_EQ(out.patch->reason.message.substr(0, field.size()), field);
+        EXPECT_EQ(table.digest(), digest);
+    };
+    const auto b = make_service("b", {{0x7f000001U, 82}});
+    auto wide = b;
+    wide.__set_retry_percent(101);
+    using enum operation;
+    refuse({}, patch_status::invalid, error_code::patch_empty, "operations");
+    refuse(std::vector(257, make_operation(add, b)), patch_status::invalid, error_code::patch_too_large,
+           "operations");
+    refuse({make_operation(add, b), make_operation(add, b)}, patch_status::invalid,
+           error_code::service_exists, "operations[1].add.name");
+    refuse({make_operation(change, b)}, patch_status::invalid, error_code::service_unknown,
+           "operations[0].change");
+    refuse({make_operation(remove, b)}, patch_status::invalid, error_code::service_unknown,
+           "operations[0].remove");
+    refuse({make_operation(add, wide)}, patch_status::invalid, error_code::description_invalid_value,
+           "operations[0].add.retry_percent");
+    refuse({make_operation(add, b), make_operation(add, make_service("c", {two}))}, patch_status::invalid,
+           error_code::address_overlap, "operations[1].add.addresses[0]");
+    refuse({make_operation(change, make_service("a", {one})), make_operation(add, make_service("c", {two}))},
+           patch_status::not_accepted, error_code::address_quarantined, "operations[1].add.addresses[0]");
+    // The former service may take its address back at once, another one only after 60 s.
+    const auto apply = [&](std::int64_t time_ms, wire::patch_operation op) {
+        return table
+            .apply(next_revision(table), make_patch(time_ms, "at" + std::to_string(time_ms),
+                                                    table.version().value, {std::move(op)}))
+            .patch->status;
+    };
+    EXPECT_EQ(apply(3000, make_operation(change, make_service("a", {one}))), patch_status::accepted);
+    EXPECT_EQ(apply(3001, make_operation(change, make_service("a", {one, two}))), patch_status::accepted);
+    EXPECT_EQ(apply(4000, make_operation(change, make_service("a", {one}))), patch_status::accepted);
+    EXPECT_EQ(apply(63'999, make_operation(add, make_service("c", {two}))), patch_status::not_accepted);
+    EXPECT_EQ(apply(64'000, make_operation(add, make_service("c", {two}))), patch_status::accepted);
+}
+
+// Guards against a restarted target that keeps its former entry, and against an entry that is applied twice.
+TEST(table_state, a_restart_replaces_the_incarnation_in_one_entry)
+{
+    table_state table;
+    testing::fill_table(table, 1, 2, 0);
+    const endpoint agent{0x7f010000U, 9000};
+    const auto former = *table.find_target(agent);
+    const auto again = table.apply(next_revision(table), make_target_join(1, {1}, agent, 1));
+    EXPECT_EQ(again.joined, former);
+    const auto restart = table.apply(next_revision(table), make_target_join(1, {1}, agent, 77));
+    ASSERT_TRUE(restart.joined);
+    EXPECT_EQ(restart.joined->value, table.current_revision().value);
+    EXPECT_FALSE(table.targets().contains(former));
+    EXPECT_EQ(table.targets().size(), 2U);
+    const std::string before = bytes_of(table);
+    EXPECT_TRUE(table.apply(table.current_revision(), make_target_join(1, {1}, {1, 1}, 1)).refused);
+    EXPECT_EQ(bytes_of(table), before);
+}
+
+// Guards against tables that outgrow what nodes are sized for.
+TEST(table_state, limits_give_numbered_errors)
+{
+    table_state table;
+    testing::fill_table(table, table_state::max_services, table_state::max_targets, table_state::max_nodes);
+    ASSERT_EQ(table.services().size(), table_state::max_services);
+    const auto code = [&](const wire::change& c) {
+        return table.apply(next_revision(table), c).refused->code;
+    };
+    EXPECT_EQ(code(make_patch(1, "x", table.version().value,
+                              {make_operation(operation::add, make_service("x", {{0x7fff0000U, 1}}))})),
+              error_code::table_full);
+    EXPECT_EQ(code(make_target_join(1, {1}, {0x7fff0000U, 1}, 1)), error_code::table_full);
+    EXPECT_EQ(code(testing::make_node_join(1, {0x7fff0000U, 1}, 1)), error_code::table_full);
+    // A restart needs no room.
+    EXPECT_FALSE(table.apply(next_revision(table), make_target_join(1, {1}, {0x7f010000U, 9000}, 5)).refused);
+}
+
+// Guards against pages that exceed a datagram, repeat or skip objects, and against removals that a node
+// misses.
+TEST(table_state, pages_hold_each_newer_object_once_in_order)
+{
+    table_state table;
+    change_source source(5);
+    for (int i = 0; i < 400; ++i) {
+        table.apply(next_revision(table), source.next(table));
+    }
+    const std::size_t objects = table.services().size() + table.targets().size() + table.nodes().size() +
+                                table.snapshot().tombstones.size();
+    wire::cursor position;
+    std::size_t seen = 0;
+    for (bool complete = false; !complete;) {
+        const auto page = table.delta(position, false, 400);
+        EXPECT_LE(encode_struct(page).size(), 400U);
+        EXPECT_EQ(page.start, position);
+        EXPECT_EQ(page.config_version, table.version().value);
+        seen += page.services.size() + page.targets.size() + page.nodes.size() + page.tombstones.size();
+        position = page.position;
+        complete = page.complete;
+    }
+    EXPECT_EQ(seen, objects);
+    EXPECT_EQ(position.revision, table.current_revision().value);
+}
+
+// Guards against snapshots whose contradictions get into a table.
+TEST(table_state, contradictory_snapshots_are_refused)
+{
+    table_state table;
+    testing::fill_table(table, 3, 6, 2);
+    table.apply(next_revision(table), testing::make_target_leave(1, table.targets().begin()->first));
+    const auto refused = [&](auto&& spoil) {
+        auto s = table.snapshot();
+        spoil(s);
+        const auto r = table_state::from_snapshot(s);
+        return !has_value(r) && failure(r).code == error_code::snapshot_corrupt;
+    };
+    EXPECT_FALSE(refused([](auto&) {}));
+    EXPECT_TRUE(refused([](auto& s) { s.services[1].name = s.services[0].name; }));
+    EXPECT_TRUE(refused([](auto& s) { s.services[1].addresses = s.services[0].addresses; }));
+    EXPECT_TRUE(refused([](auto& s) { s.targets[0].service_id = 99; }));
+    EXPECT_TRUE(refused([](auto& s) { s.targets[1].agent = s.targets[0].agent; }));
+    EXPECT_TRUE(refused([](auto& s) { s.targets[1].revision = s.revision + 1; }));
+    EXPECT_TRUE(refused([](auto& s) { s.next_service = 2; }));
+    EXPECT_TRUE(refused([](auto& s) { s.tombstones[0].id = s.targets[0].incarnation; }));
+    EXPECT_TRUE(refused([](auto& s) { s.patches.erase(s.patches.begin() + 1); }));
+    EXPECT_TRUE(refused([](auto& s) { s.patches[1].patch_id = s.patches[0].patch_id; }));
+    EXPECT_TRUE(refused([](auto& s) { s.nodes[1].control = s.nodes[0].control; }));
+}
+
+}  // namespace
+}  // namespace peridotcleat
