--- a/scripts/demo_job.py
+++ b/scripts/demo_job.py
@@ -120,7 +120,7 @@
     def start_callers(self):
         for n, (service, address) in enumerate(SERVICES.items()):
             self.launch(f"caller-{service}", "peridotcleat-caller", "--service", address, "--name", service,
-                        "--local", f"127.0.5.{n + 1}:10000", "--summary", str(self.folder / f"summary-{service}"),
+                        "--local", f"127.0.{5 + n}.1:10000", "--summary", str(self.folder / f"summary-{service}"),
                         "--callers", "40", "--seconds", str(self.seconds), "--interval-ms", "200",
                         "--seed", str(self.seed + n))
 
