Add the flow layer of an agent

Flows are opened through the owner of their bucket, which keeps a directory of the bucket's flows and rebuilds it by bucket_query after a table change. Later packets name their holder in the token, so any agent of the service can forward them, and only the holder, or a table that the holder has left, proves that a flow does not exist. place_offer and place_reply get an optional offer_id: without it a delayed refusal of an earlier offer for the same key would count as the refusal of a later one, and two targets could accept the flow. Compiled only; not run yet.

--- /dev/null
+++ b/src/include/peridotcleat/bucket_directory.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <array>
+#include <bitset>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "peridotcleat/hash.h"
+#include "peridotcleat/types.h"
+
+namespace peridotcleat::pvt {
+
+/// A set of buckets, as `bucket_query` carries it.
+using bucket_set = std::bitset<bucket_count>;
+
+/// Converts to and from the 32 bytes on the wire; fewer bytes stand for absent buckets.
+std::string to_wire(const bucket_set& buckets);
+bucket_set buckets_from_wire(const std::string& bytes);
+
+/// Where a flow of an owned bucket is held by another target.
+struct directory_entry {
+    incarnation holder;
+    /// The holder may have ended the flow; it is asked before the flow is placed anew.
+    bool in_doubt = false;
+};
+
+/// One bucket as its agent sees it.
+struct bucket_state {
+    bool owned = false;
+    /// New flows may be placed: the handover is complete or timed out.
+    bool ready = false;
+    /// All targets have reported the flows that they hold.
+    bool complete = false;
+    /// A newer owner has queried the bucket, so a later handover here must start anew.
+    bool fenced = false;
+    /// Start of the handover.
+    time_point since;
+    /// No new flow is placed for a revision below this one.
+    revision fence;
+    std::unordered_map<flow_key, directory_entry, flow_key_hash> entries;
+};
+
+/// Buckets of one service at one agent, with the directories of the owned ones. The number of entries is
+/// bounded.
+class bucket_directory {
+public:
+    explicit bucket_directory(std::size_t max_entries) : max_entries_(max_entries) {}
+
+    [[nodiscard]] bucket_state& at(std::size_t bucket) { return buckets_.at(bucket); }
+    [[nodiscard]] const bucket_state& at(std::size_t bucket) const { return buckets_.at(bucket); }
+
+    /// Returns the entry of a flow, or null.
+    [[nodiscard]] directory_entry* find(const flow_key& key);
+    /// Adds or replaces an entry of an owned bucket. Returns false if the directory is full.
+    bool set(const flow_key& key, incarnation holder);
+    /// Removes an entry.
+    void erase(const flow_key& key);
+    /// Puts an entry that names `holder` in doubt; it is removed after `datagram_lifetime`.
+    void doubt(time_point now, const flow_key& key, incarnation holder);
+    /// Removes entries that have been in doubt for `datagram_lifetime`.
+    void purge(time_point now);
+    /// Gives up a bucket and its entries.
+    void release(std::size_t bucket);
+    /// Removes all entries whose holder is not in `targets`.
+    void keep_holders(const std::unordered_set<incarnation, id_hash>& targets);
+    void clear();
+
+    /// Entries in all owned buckets.
+    [[nodiscard]] std::size_t size() const noexcept { return size_; }
+
+private:
+    struct doubt_record {
+        time_point when;
+        flow_key key;
+    };
+
+    std::size_t max_entries_;
+    std::size_t size_ = 0;
+    std::array<bucket_state, bucket_count> buckets_;
+    std::deque<doubt_record> doubts_;
+};
+
+/// Progress of one query to all targets of a service.
+class query_round {
+public:
+    /// Takes query ids from `first` on, so that those of an earlier start of the process never match.
+    void set_first_id(std::int64_t first) { next_query_id_ = first; }
+    /// Starts anew; reports to earlier rounds no longer count.
+    void start(time_point now, const bucket_set& buckets, const std::vector<incarnation>& targets);
+    void stop() { awaited_.clear(); }
+    /// Takes page `page` of `pages` from `holder`, in answer to `query_id`. Returns true if this completes
+    /// the last outstanding report.
+    bool take(incarnation holder, std::int64_t query_id, std::size_t page, std::size_t pages);
+    /// Returns the targets whose query is due, and gives each a new query id.
+    struct due_query {
+        incarnation target;
+        std::int64_t query_id;
+    };
+    std::vector<due_query> take_due(time_point now);
+
+    [[nodiscard]] const bucket_set& buckets() const noexcept { return buckets_; }
+    [[nodiscard]] bool active() const noexcept { return !awaited_.empty(); }
+
+private:
+    struct awaited_report {
+        std::int64_t query_id = 0;
+        std::vector<bool> pages;
+        std::size_t missing = 0;
+        time_point next_query;
+        int attempts = 0;
+    };
+
+    bucket_set buckets_;
+    std::int64_t next_query_id_ = 1;
+    std::unordered_map<incarnation, awaited_report, id_hash> awaited_;
+};
+
+}  // namespace peridotcleat::pvt
--- /dev/null
+++ b/src/include/peridotcleat/flow_owner.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <limits>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "peridotcleat/bucket_directory.h"
+#include "peridotcleat/counters.h"
+#include "peridotcleat/held_flows.h"
+#include "peridotcleat/outbox.h"
+#include "peridotcleat/placement.h"
+#include "peridotcleat/route_table.h"
+
+namespace peridotcleat {
+
+/// What happened to a held flow, for the layer above.
+enum class flow_event_kind : std::uint8_t { opened, closed, payload };
+
+/// One event of a held flow; `body` is set for `payload` only.
+struct flow_event {
+    flow_event_kind kind = flow_event_kind::payload;
+    flow_key key;
+    flow_token token;
+    caller_message body;
+};
+
+/// Limits of the flow layer of one agent.
+struct flow_settings {
+    /// Where other agents send messages to this one.
+    endpoint address;
+    /// Most flows that are held.
+    std::uint32_t connections = 1;
+    std::chrono::milliseconds idle_timeout{3600000};
+    /// After this time new flows are placed even if a target has not reported its flows.
+    std::chrono::milliseconds handover_timeout{5000};
+    /// Most directory entries for flows that other targets hold.
+    std::size_t max_directory = std::size_t{1} << 18U;
+};
+
+/// The flow layer of one agent: holds flows, owns buckets of its service and their directories, places new
+/// flows and forwards packets to the target that holds their flow. Not thread-safe.
+///
+/// A flow is opened through its bucket's owner, so that repeated opening packets end at one holder. Later
+/// packets name their holder in the token: any agent of the service can forward them, and only the holder, or
+/// a table from which the holder has left, proves that a flow does not exist.
+class flow_owner {
+public:
+    /// Fails with `invalid_setting` if a limit is not positive.
+    static result<flow_owner> create(const flow_settings& settings, counters& counted);
+
+    /// Changes limits while running; flows above a lower limit stay.
+    void set_connections(std::uint32_t connections) noexcept { settings_.connections = connections; }
+    void set_idle_timeout(std::chrono::milliseconds timeout) noexcept { settings_.idle_timeout = timeout; }
+    void set_placement(const placement& chosen) noexcept { placement_ = chosen; }
+    /// A draining agent accepts no new flow and keeps those that it holds.
+    void set_draining(bool draining) noexcept { draining_ = draining; }
+
+    /// Takes a table that contains target `own` of `service`, or no longer does. The revision must not fall.
+    void set_routes(time_point now, std::shared_ptr<const route_table> routes, service_id service,
+                    incarnation own, outbox& out);
+    /// Handles one packet that a balancer or agent at `from` forwarded.
+    void on_packet(time_point now, const endpoint& from, const wire::forwarded_packet& packet, outbox& out);
+    /// Handles forwarded_packet, bucket_query, bucket_report, place_offer, place_reply, flow_closed,
+    /// flow_unknown and load_report; ignores others.
+    void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
+    /// Repeats queries and offers, ends idle flows, reports loads. Call at least every 50 ms.
+    void on_tick(time_point now, outbox& out);
+
+    /// Returns and clears the events since the last call, in order.
+    std::vector<flow_event> take_events();
+    /// Returns the key of a held flow, if `token` names one. Takes time linear in the number of flows.
+    [[nodiscard]] std::optional<flow_key> key_of(flow_token token) const;
+
+    [[nodiscard]] std::size_t flows() const noexcept { return held_.size(); }
+    [[nodiscard]] std::size_t directory_entries() const noexcept { return directory_.size(); }
+    /// Packets and placements that wait for a report, a reply or a newer table.
+    [[nodiscard]] std::size_t waiting() const noexcept { return waiting_.size() + offers_.size(); }
+    /// Number of owned buckets.
+    [[nodiscard]] std::size_t owned_buckets() const noexcept;
+    /// Flows held per weight, times 1000.
+    [[nodiscard]] std::int64_t load() const noexcept;
+    /// Highest revision that a message named; above the table's if a newer table exists.
+    [[nodiscard]] revision newest_seen() const noexcept { return newest_seen_; }
+    [[nodiscard]] incarnation id() const noexcept { return own_; }
+
+private:
+    struct waiting_packet {
+        time_point since;
+        endpoint from;
+        wire::forwarded_packet packet;
+    };
+    /// A new flow that was offered to another target.
+    struct offer {
+        std::int64_t id = 0;
+        std::int64_t nonce = 0;
+        incarnation holder;
+        time_point first_sent;
+        time_point last_sent;
+        wire::place_offer body;
+    };
+    struct peer_load {
+        std::optional<std::int64_t> load;
+        time_point last_exchange;
+    };
+
+    flow_owner(const flow_settings& settings, counters& counted);
+
+    // flow_owner.cpp: packets at the holder.
+    bool check_address(time_point now, const wire::forwarded_packet& packet, outbox& out);
+    void note_revision(time_point now, revision seen, const endpoint& sender, outbox& out);
+    void on_named(time_point now, const endpoint& from, const wire::forwarded_packet& packet,
+                  caller_message body, flow_token token, outbox& out);
+    void deliver(time_point now, const flow_key& key, pvt::held_flow& flow, caller_message body, outbox& out);
+    void answer_missing(const flow_key& key, flow_token token, caller_message body, bool held_here,
+                        outbox& out);
+    void forward(const wire::forwarded_packet& packet, const route_target& to, outbox& out);
+    void wait(time_point now, const endpoint& from, const wire::forwarded_packet& packet);
+    void retry_waiting(time_point now, outbox& out);
+    void drop(error_code reason);
+    void end_flow(time_point now, const flow_key& key, outbox& out);
+    void end_idle_flows(time_point now, outbox& out);
+    void end_service(time_point now, outbox& out);
+    [[nodiscard]] const route_target* owner_of(std::size_t bucket) const;
+    [[nodiscard]] const route_target* target(incarnation id) const;
+    [[nodiscard]] revision table_revision() const { return routes_ ? routes_->at() : revision{}; }
+
+    // flow_placement.cpp: new flows.
+    void on_open(time_point now, const endpoint& from, const wire::forwarded_packet& packet,
+                 std::int64_t nonce, outbox& out);
+    void open_at_owner(time_point now, const endpoint& from, const wire::forwarded_packet& packet,
+                       std::int64_t nonce, outbox& out);
+    /// Handles an opening of a key that is held or ended here. Returns true if nothing is left to do.
+    bool settle_known(time_point now, const flow_key& key, std::int64_t nonce, error_code& refused,
+                      outbox& out);
+    void accept(time_point now, const flow_key& key, std::int64_t nonce, outbox& out);
+    void refuse(const flow_key& key, std::int64_t nonce, error_code reason, outbox& out);
+    void start_offer(time_point now, const wire::forwarded_packet& packet, std::int64_t nonce,
+                     const route_target& to, bool in_doubt, outbox& out);
+    void on_place_offer(time_point now, const wire::place_offer& asked, outbox& out);
+    void on_place_reply(time_point now, const wire::place_reply& reply, outbox& out);
+    void on_declined(time_point now, const offer& declined, error_code reason, outbox& out);
+    void repeat_offers(time_point now, outbox& out);
+    void report_load(time_point now, outbox& out);
+    [[nodiscard]] error_code accepts() const noexcept;
+    [[nodiscard]] bool may_place(std::size_t bucket) const;
+
+    // flow_handover.cpp: owned buckets.
+    void update_buckets(time_point now, bool targets_changed, outbox& out);
+    void start_round(time_point now, outbox& out);
+    void send_queries(time_point now, outbox& out);
+    void on_bucket_query(time_point now, const wire::bucket_query& query, outbox& out);
+    void send_report(const wire::bucket_query& query, const pvt::bucket_set& buckets, outbox& out) const;
+    void on_bucket_report(time_point now, const wire::bucket_report& report, outbox& out);
+    void check_handover_timeout(time_point now, outbox& out);
+
+    flow_settings settings_;
+    counters* counted_;
+    placement placement_;
+    bool draining_ = false;
+    std::shared_ptr<const route_table> routes_;
+    /// Routes of the own service inside `routes_`; null if the table does not hold this target.
+    const service_routes* service_routes_ = nullptr;
+    service_id service_;
+    incarnation own_;
+    std::uint32_t own_weight_ = 1;
+    revision newest_seen_;
+    pvt::held_flows held_;
+    pvt::bucket_directory directory_;
+    pvt::query_round round_;
+    std::unordered_map<flow_key, offer, flow_key_hash> offers_;
+    std::int64_t next_offer_id_ = 1;
+    std::deque<waiting_packet> waiting_;
+    std::size_t waiting_bytes_ = 0;
+    std::unordered_map<incarnation, peer_load, id_hash> peers_;
+    std::unordered_map<std::uint64_t, time_point> notices_;
+    time_point next_housekeeping_;
+    std::vector<flow_event> events_;
+};
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/connection/bucket_directory.cpp
@@ -0,0 +1,172 @@
+#include "peridotcleat/bucket_directory.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "peridotcleat/held_flows.h"
+
+namespace peridotcleat::pvt {
+
+namespace {
+
+// Bounds the memory for entries in doubt; beyond it the oldest one is removed early.
+constexpr std::size_t max_doubts = 16384;
+// First repetition of a query; each further one waits twice as long, up to the last value, so that a round
+// trip longer than the first wait still completes a report.
+constexpr std::chrono::milliseconds first_repeat{100};
+constexpr std::chrono::milliseconds last_repeat{800};
+constexpr std::size_t max_pages = 4096;
+
+}  // namespace
+
+std::string to_wire(const bucket_set& buckets)
+{
+    std::string bytes(bucket_count / 8, '\0');
+    for (std::size_t b = 0; b < bucket_count; ++b) {
+        if (buckets[b]) {
+            bytes[b / 8] = static_cast<char>(static_cast<unsigned char>(bytes[b / 8]) | (1U << (b % 8)));
+        }
+    }
+    return bytes;
+}
+
+bucket_set buckets_from_wire(const std::string& bytes)
+{
+    bucket_set buckets;
+    for (std::size_t b = 0; b < bucket_count && b / 8 < bytes.size(); ++b) {
+        buckets[b] = ((static_cast<unsigned char>(bytes[b / 8]) >> (b % 8)) & 1U) != 0;
+    }
+    return buckets;
+}
+
+directory_entry* bucket_directory::find(const flow_key& key)
+{
+    auto& entries = buckets_[bucket_of(key)].entries;
+    const auto it = entries.find(key);
+    return it == entries.end() ? nullptr : &it->second;
+}
+
+bool bucket_directory::set(const flow_key& key, incarnation holder)
+{
+    auto& entries = buckets_[bucket_of(key)].entries;
+    const auto it = entries.find(key);
+    if (it != entries.end()) {
+        it->second = {holder, false};
+        return true;
+    }
+    if (size_ >= max_entries_) {
+        return false;
+    }
+    entries.emplace(key, directory_entry{holder, false});
+    ++size_;
+    return true;
+}
+
+void bucket_directory::erase(const flow_key& key) { size_ -= buckets_[bucket_of(key)].entries.erase(key); }
+
+void bucket_directory::doubt(time_point now, const flow_key& key, incarnation holder)
+{
+    directory_entry* entry = find(key);
+    if (entry == nullptr || entry->holder != holder || entry->in_doubt) {
+        return;
+    }
+    entry->in_doubt = true;
+    doubts_.push_back({now, key});
+    if (doubts_.size() > max_doubts) {
+        const flow_key oldest = doubts_.front().key;
+        doubts_.pop_front();
+        if (const directory_entry* e = find(oldest); e != nullptr && e->in_doubt) {
+            erase(oldest);
+        }
+    }
+}
+
+void bucket_directory::purge(time_point now)
+{
+    while (!doubts_.empty() && doubts_.front().when + datagram_lifetime < now) {
+        const flow_key key = doubts_.front().key;
+        doubts_.pop_front();
+        if (const directory_entry* e = find(key); e != nullptr && e->in_doubt) {
+            erase(key);
+        }
+    }
+}
+
+void bucket_directory::release(std::size_t bucket)
+{
+    bucket_state& b = buckets_.at(bucket);
+    size_ -= b.entries.size();
+    b.entries = {};
+    b.owned = false;
+    b.fenced = false;
+    b.ready = false;
+    b.complete = false;
+}
+
+void bucket_directory::keep_holders(const std::unordered_set<incarnation, id_hash>& targets)
+{
+    for (bucket_state& b : buckets_) {
+        size_ -= std::erase_if(
+            b.entries, [&targets](const auto& item) { return !targets.contains(item.second.holder); });
+    }
+}
+
+void bucket_directory::clear()
+{
+    for (bucket_state& b : buckets_) {
+        b = {};
+    }
+    doubts_.clear();
+    size_ = 0;
+}
+
+void query_round::start(time_point now, const bucket_set& buckets, const std::vector<incarnation>& targets)
+{
+    buckets_ = buckets;
+    awaited_.clear();
+    for (const incarnation target : targets) {
+        awaited_[target].next_query = now;
+    }
+}
+
+bool query_round::take(incarnation holder, std::int64_t query_id, std::size_t page, std::size_t pages)
+{
+    const auto it = awaited_.find(holder);
+    if (it == awaited_.end() || it->second.query_id != query_id || page >= pages || pages > max_pages) {
+        return false;
+    }
+    awaited_report& report = it->second;
+    if (report.pages.empty()) {
+        report.pages.assign(pages, false);
+        report.missing = pages;
+    }
+    if (pages != report.pages.size() || report.pages[page]) {
+        return false;
+    }
+    report.pages[page] = true;
+    if (--report.missing > 0) {
+        return false;
+    }
+    awaited_.erase(it);
+    return awaited_.empty();
+}
+
+std::vector<query_round::due_query> query_round::take_due(time_point now)
+{
+    std::vector<due_query> due;
+    for (auto& [target, report] : awaited_) {
+        if (report.next_query > now) {
+            continue;
+        }
+        // Pages of two answers may miss a flow that moved between them, so each query has its own id.
+        report.query_id = next_query_id_++;
+        report.pages.clear();
+        report.next_query = now + std::min(last_repeat, first_repeat * (1 << std::min(report.attempts, 4)));
+        ++report.attempts;
+        due.push_back({target, report.query_id});
+    }
+    std::sort(due.begin(), due.end(), [](const auto& a, const auto& b) { return a.target < b.target; });
+    return due;
+}
+
+}  // namespace peridotcleat::pvt
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -1933,6 +1933,11 @@
 void place_offer::__set_balancer(const endpoint& val) {
   this->balancer = val;
 }
+
+void place_offer::__set_offer_id(const int64_t val) {
+  this->offer_id = val;
+__isset.offer_id = true;
+}
 std::ostream& operator<<(std::ostream& out, const place_offer& obj)
 {
   obj.printTo(out);
@@ -1951,6 +1956,8 @@
   swap(a.load_permille, b.load_permille);
   swap(a.payload, b.payload);
   swap(a.balancer, b.balancer);
+  swap(a.offer_id, b.offer_id);
+  swap(a.__isset, b.__isset);
 }
 
 place_offer::place_offer(const place_offer& other156) {
@@ -1963,6 +1970,8 @@
   load_permille = other156.load_permille;
   payload = other156.payload;
   balancer = other156.balancer;
+  offer_id = other156.offer_id;
+  __isset = other156.__isset;
 }
 place_offer::place_offer(place_offer&& other157) noexcept {
   key = std::move(other157.key);
@@ -1974,6 +1983,8 @@
   load_permille = other157.load_permille;
   payload = std::move(other157.payload);
   balancer = std::move(other157.balancer);
+  offer_id = other157.offer_id;
+  __isset = other157.__isset;
 }
 place_offer& place_offer::operator=(const place_offer& other158) {
   key = other158.key;
@@ -1985,6 +1996,8 @@
   load_permille = other158.load_permille;
   payload = other158.payload;
   balancer = other158.balancer;
+  offer_id = other158.offer_id;
+  __isset = other158.__isset;
   return *this;
 }
 place_offer& place_offer::operator=(place_offer&& other159) noexcept {
@@ -1997,6 +2010,8 @@
   load_permille = other159.load_permille;
   payload = std::move(other159.payload);
   balancer = std::move(other159.balancer);
+  offer_id = other159.offer_id;
+  __isset = other159.__isset;
   return *this;
 }
 void place_offer::printTo(std::ostream& out) const {
@@ -2011,6 +2026,7 @@
   out << ", " << "load_permille=" << to_string(load_permille);
   out << ", " << "payload=" << to_string(payload);
   out << ", " << "balancer=" << to_string(balancer);
+  out << ", " << "offer_id="; (__isset.offer_id ? (out << to_string(offer_id)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2042,6 +2058,11 @@
 void place_reply::__set_load_permille(const int64_t val) {
   this->load_permille = val;
 }
+
+void place_reply::__set_offer_id(const int64_t val) {
+  this->offer_id = val;
+__isset.offer_id = true;
+}
 std::ostream& operator<<(std::ostream& out, const place_reply& obj)
 {
   obj.printTo(out);
@@ -2057,6 +2078,8 @@
   swap(a.accepted, b.accepted);
   swap(a.reason, b.reason);
   swap(a.load_permille, b.load_permille);
+  swap(a.offer_id, b.offer_id);
+  swap(a.__isset, b.__isset);
 }
 
 place_reply::place_reply(const place_reply& other160) noexcept {
@@ -2066,6 +2089,8 @@
   accepted = other160.accepted;
   reason = other160.reason;
   load_permille = other160.load_permille;
+  offer_id = other160.offer_id;
+  __isset = other160.__isset;
 }
 place_reply::place_reply(place_reply&& other161) noexcept {
   key = std::move(other161.key);
@@ -2074,6 +2099,8 @@
   accepted = other161.accepted;
   reason = other161.reason;
   load_permille = other161.load_permille;
+  offer_id = other161.offer_id;
+  __isset = other161.__isset;
 }
 place_reply& place_reply::operator=(const place_reply& other162) noexcept {
   key = other162.key;
@@ -2082,6 +2109,8 @@
   accepted = other162.accepted;
   reason = other162.reason;
   load_permille = other162.load_permille;
+  offer_id = other162.offer_id;
+  __isset = other162.__isset;
   return *this;
 }
 place_reply& place_reply::operator=(place_reply&& other163) noexcept {
@@ -2091,6 +2120,8 @@
   accepted = other163.accepted;
   reason = other163.reason;
   load_permille = other163.load_permille;
+  offer_id = other163.offer_id;
+  __isset = other163.__isset;
   return *this;
 }
 void place_reply::printTo(std::ostream& out) const {
@@ -2102,6 +2133,7 @@
   out << ", " << "accepted=" << to_string(accepted);
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "load_permille=" << to_string(load_permille);
+  out << ", " << "offer_id="; (__isset.offer_id ? (out << to_string(offer_id)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -1690,6 +1690,10 @@
 
 std::ostream& operator<<(std::ostream& out, const bucket_report& obj);
 
+typedef struct _place_offer__isset {
+  _place_offer__isset() : offer_id(false) {}
+  bool offer_id :1;
+} _place_offer__isset;
 
 class place_offer {
  public:
@@ -1704,7 +1708,8 @@
                 owner(0),
                 holder(0),
                 load_permille(0),
-                payload() {
+                payload(),
+                offer_id(0) {
   }
 
   virtual ~place_offer() noexcept;
@@ -1717,6 +1722,9 @@
   int64_t load_permille;
   std::string payload;
   endpoint balancer;
+  int64_t offer_id;
+
+  _place_offer__isset __isset;
 
   void __set_key(const flow_key& val);
 
@@ -1736,6 +1744,8 @@
 
   void __set_balancer(const endpoint& val);
 
+  void __set_offer_id(const int64_t val);
+
   bool operator == (const place_offer & rhs) const
   {
     if (!(key == rhs.key))
@@ -1756,6 +1766,10 @@
       return false;
     if (!(balancer == rhs.balancer))
       return false;
+    if (__isset.offer_id != rhs.__isset.offer_id)
+      return false;
+    else if (__isset.offer_id && !(offer_id == rhs.offer_id))
+      return false;
     return true;
   }
   bool operator != (const place_offer &rhs) const {
@@ -1776,6 +1790,10 @@
 
 std::ostream& operator<<(std::ostream& out, const place_offer& obj);
 
+typedef struct _place_reply__isset {
+  _place_reply__isset() : offer_id(false) {}
+  bool offer_id :1;
+} _place_reply__isset;
 
 class place_reply {
  public:
@@ -1789,7 +1807,8 @@
                 holder(0),
                 accepted(0),
                 reason(0),
-                load_permille(0) {
+                load_permille(0),
+                offer_id(0) {
   }
 
   virtual ~place_reply() noexcept;
@@ -1799,6 +1818,9 @@
   bool accepted;
   int16_t reason;
   int64_t load_permille;
+  int64_t offer_id;
+
+  _place_reply__isset __isset;
 
   void __set_key(const flow_key& val);
 
@@ -1812,6 +1834,8 @@
 
   void __set_load_permille(const int64_t val);
 
+  void __set_offer_id(const int64_t val);
+
   bool operator == (const place_reply & rhs) const
   {
     if (!(key == rhs.key))
@@ -1826,6 +1850,10 @@
       return false;
     if (!(load_permille == rhs.load_permille))
       return false;
+    if (__isset.offer_id != rhs.__isset.offer_id)
+      return false;
+    else if (__isset.offer_id && !(offer_id == rhs.offer_id))
+      return false;
     return true;
   }
   bool operator != (const place_reply &rhs) const {
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -2997,6 +2997,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offer_id);
+          this->__isset.offer_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3069,6 +3077,11 @@
   xfer += this->balancer.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.offer_id) {
+    xfer += oprot->writeFieldBegin("offer_id", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->offer_id);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3150,6 +3163,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offer_id);
+          this->__isset.offer_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3204,6 +3225,11 @@
   xfer += oprot->writeI64(this->load_permille);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.offer_id) {
+    xfer += oprot->writeFieldBegin("offer_id", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->offer_id);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -217,6 +217,7 @@
   7: required i64 load_permille // of the owner
   8: required binary payload    // the opening packet
   9: required endpoint balancer
+  10: optional i64 offer_id     // echoed, so that a delayed reply to an earlier offer is told apart
 }
 
 struct place_reply {
@@ -226,6 +227,7 @@
   4: required bool accepted
   5: required i16 reason
   6: required i64 load_permille
+  7: optional i64 offer_id
 }
 
 struct flow_closed {
