Test the flow layer with random changes of the table

Callers, balancers and agents run on one fake network, each node on its own version of the table; a reusable checker watches resets, lost flows, holders, services and draining.

--- a/src/include/peridotcleat/agent.h
+++ b/src/include/peridotcleat/agent.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "peridotcleat/flow_owner.h"
 #include "peridotcleat/node_link.h"
 #include "peridotcleat/request_table.h"
 #include "peridotcleat/route_table.h"
@@ -16,6 +18,7 @@
 struct agent_settings {
     node_link_settings link;
     request_settings requests;
+    /// Used unless the service sets its own.
     std::chrono::milliseconds idle_timeout{3600000};
     std::chrono::milliseconds handover_timeout{5000};
 };
@@ -48,10 +51,33 @@
     /// Starts a graceful stop: drains, finishes requests, then reports empty.
     void begin_stop(time_point now, outbox& out);
 
-    /// True once a graceful stop may end the process without cutting off anything.
+    /// True once a graceful stop may end the process without cutting off anything: no flow and no request is
+    /// left, and the table no longer leads new flows here or control has not confirmed that for 10 s.
     [[nodiscard]] bool may_stop(time_point now) const;
     [[nodiscard]] agent_status status() const;
-    [[nodiscard]] const node_link& link() const noexcept;
+    [[nodiscard]] const node_link& link() const noexcept { return link_; }
+
+private:
+    agent(agent_settings settings, counters& counted, node_link link, flow_owner flows,
+          request_table requests);
+
+    void start_draining(time_point now, outbox& out);
+    void follow_link(time_point now, outbox& out);
+    void apply_table(time_point now, outbox& out);
+    void apply_service(const wire::target& target);
+    void pass_events(time_point now, outbox& out);
+    void report_empty(time_point now);
+
+    agent_settings settings_;
+    node_link link_;
+    flow_owner flows_;
+    request_table requests_;
+    std::shared_ptr<const route_table> routes_;
+    service_id service_;
+    incarnation served_;
+    bool draining_ = false;
+    bool empty_ = false;
+    std::optional<time_point> stop_began_;
 };
 
 }  // namespace peridotcleat
--- a/src/include/peridotcleat/balancer.h
+++ b/src/include/peridotcleat/balancer.h
@@ -46,9 +46,16 @@
     [[nodiscard]] const node_link& link() const noexcept { return link_; }
 
 private:
+    balancer(const balancer_settings& settings, counters& counted, node_link link);
+
+    void follow_link(time_point now, outbox& out);
+
+    endpoint address_;
     node_link link_;
     relay relay_;
     std::shared_ptr<const route_table> routes_;
+    /// Revision that children were last notified of.
+    revision notified_;
 };
 
 }  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/connection/flow_owner_test.cpp
@@ -0,0 +1,100 @@
+#include "peridotcleat/flow_owner.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdlib>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "testing/flow_world.h"
+
+namespace peridotcleat {
+namespace {
+
+using testing::flow_world;
+using testing::flow_world_settings;
+
+std::uint64_t first_seed()
+{
+    // Tests read the environment before they start any thread.
+    const char* text = std::getenv("PERIDOTCLEAT_FIRST_SEED");  // NOLINT(concurrency-mt-unsafe)
+    return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+}
+
+// Sums over all runs.
+struct totals {
+    std::mutex lock;
+    std::uint64_t changes = 0;
+    std::uint64_t opened = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t survivors = 0;
+    std::uint64_t delivered = 0;
+    std::vector<std::string> violations;
+};
+
+void run_one(flow_world_settings settings, totals& sum)
+{
+    flow_world world(settings);
+    world.run();
+    const std::scoped_lock guard(sum.lock);
+    sum.changes += world.changes();
+    sum.opened += world.open_flows_seen();
+    sum.failed += world.failed_opens();
+    sum.survivors += world.survivors();
+    sum.delivered += world.checker().delivered();
+    for (const std::string& v : world.checker().violations()) {
+        sum.violations.push_back("seed " + std::to_string(settings.seed) + ": " + v);
+    }
+}
+
+// Runs are independent of each other, so threads do not affect their outcome.
+void run_seeds(const flow_world_settings& shape, std::uint64_t first, std::uint64_t count, totals& sum)
+{
+    std::atomic<std::uint64_t> next{0};
+    std::vector<std::jthread> workers;
+    for (unsigned i = 0; i < 4; ++i) {
+        workers.emplace_back([&] {
+            for (std::uint64_t k = next++; k < count; k = next++) {
+                flow_world_settings settings = shape;
+                settings.seed = first + k;
+                run_one(settings, sum);
+            }
+        });
+    }
+    workers.clear();
+    std::cout << "runs=" << count << " changes=" << sum.changes << " opened=" << sum.opened
+              << " failed_opens=" << sum.failed << " survivors=" << sum.survivors
+              << " delivered=" << sum.delivered << '\n';
+    for (std::size_t i = 0; i < std::min<std::size_t>(20, sum.violations.size()); ++i) {
+        ADD_FAILURE() << sum.violations[i];
+    }
+}
+
+// Guards against planned changes that break, misdeliver or split flows, and against new flows on targets that
+// drain, while nodes are on different versions of the table and packets are lost, repeated and reordered.
+TEST(flow_owner, random_changes_keep_every_flow)
+{
+    totals sum;
+    run_seeds({}, first_seed(), testing::seed_count(700), sum);
+    EXPECT_GT(sum.opened, 0U);
+    // Openings fail only where a service loses its targets, or its address, before they end.
+    EXPECT_LT(sum.failed * 20, sum.opened);
+}
+
+// Guards against faults that need hundreds of changes in the life of one flow.
+TEST(flow_owner, flows_outlive_hundreds_of_changes)
+{
+    flow_world_settings shape;
+    shape.changes_for = std::chrono::seconds(40);
+    shape.change_interval = std::chrono::milliseconds(100);
+    totals sum;
+    run_seeds(shape, first_seed(), std::max<std::uint64_t>(4, testing::seed_count(700) / 100), sum);
+    EXPECT_GT(sum.survivors, 0U);
+}
+
+}  // namespace
+}  // namespace peridotcleat
