--- a/src/include/peridotcleat/node_link.h
+++ b/src/include/peridotcleat/node_link.h
@@ -29,7 +29,9 @@
     /// Relays or control processes to pull from.
     std::vector<endpoint> parents;
     std::chrono::milliseconds pull_interval{1000};
+    /// A parent that is silent or whose state is older than this is left.
     std::chrono::milliseconds parent_timeout{3000};
+    /// Must differ at each start of the process: the nonce of the start is derived from it.
     std::uint64_t seed = 0;
 };
 
@@ -62,18 +64,72 @@
     [[nodiscard]] const table_state& table() const noexcept { return copy_.table(); }
     /// Identity after the join, 0 before.
     [[nodiscard]] incarnation id() const noexcept { return id_; }
-    /// True once the table has reached the node's own join revision.
+    /// Nonce that the node announces at present; a new one for each incarnation.
+    [[nodiscard]] std::int64_t nonce() const noexcept { return nonce_; }
+    /// The parent that is pulled from at present.
+    [[nodiscard]] const endpoint& parent() const noexcept { return parents_[current_].address; }
+    /// The state that is announced.
+    [[nodiscard]] node_state state() const noexcept { return state_; }
+    /// True once the table has reached the node's own join revision, as long as it holds the node.
     [[nodiscard]] bool ready() const noexcept;
-    /// True once the table no longer holds this node after it had joined.
-    [[nodiscard]] bool removed() const noexcept;
-    /// Age of the table's information, at most: parent's age plus the time since its last reply.
+    /// True once the table no longer holds this node after it had joined, until it joins again.
+    [[nodiscard]] bool removed() const noexcept { return removed_; }
+    /// Age of the table's information, at most: parent's age plus the time since the pull it answered. An
+    /// hour before the first complete table.
     [[nodiscard]] std::chrono::milliseconds age(time_point now) const;
     /// Returns and clears the services touched since the last call; true in `changed` if a delta was applied.
     std::vector<service_id> take_touched(bool& changed);
 
 private:
+    // What is known of one parent.
+    struct parent_state {
+        endpoint address;
+        /// The parent's state was current at this time.
+        time_point fresh_as_of;
+        /// Last reply that was recent and not behind this node's own table.
+        time_point good;
+        /// Earliest pull that has not been answered.
+        std::optional<time_point> unanswered;
+    };
+
+    node_link(node_link_settings settings, counters& counted);
+
+    void take_reply(time_point now, const endpoint& from, const wire::pull_reply& reply, outbox& out);
+    void take_announce_reply(time_point now, const wire::announce_reply& reply);
+    void update_parent(time_point now, std::size_t index);
+    void pull(time_point now, std::size_t index, outbox& out);
+    void probe(time_point now, outbox& out);
+    void announce(time_point now, outbox& out);
+    void find_own_entry();
+    void joined(incarnation id);
+    [[nodiscard]] bool listed(incarnation id) const;
+    [[nodiscard]] bool announcement_due() const;
+    [[nodiscard]] std::chrono::microseconds jittered(std::chrono::microseconds interval);
+
+    node_link_settings settings_;
+    counters* counted_;
     table_copy copy_;
+    std::mt19937_64 random_;
+    std::int64_t nonce_ = 0;
     incarnation id_;
+    node_state state_ = node_state::active;
+    std::optional<target_offer> offer_;
+    bool removed_ = false;
+
+    /// In order of preference.
+    std::vector<parent_state> parents_;
+    std::size_t current_ = 0;
+    std::size_t next_probe_ = 0;
+    bool started_ = false;
+    time_point next_pull_;
+    time_point last_pull_;
+    time_point next_return_;
+    time_point next_announce_;
+    /// The table held the parent's whole state at this time.
+    std::optional<time_point> complete_as_of_;
+
+    std::vector<service_id> touched_;
+    bool changed_ = false;
 };
 
 }  // namespace peridotcleat
--- a/src/include/peridotcleat/relay.h
+++ b/src/include/peridotcleat/relay.h
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <vector>
 
 #include "peridotcleat/counters.h"
@@ -16,31 +18,115 @@
     endpoint address;
     revision confirmed;
     time_point heard;
+    /// Revision of the last change_notice that was sent to the child.
+    revision notified;
+};
+
+/// A node somewhere below a relay, as far as the relay knows.
+struct heard_node {
+    revision confirmed;
+    time_point heard;
 };
 
 /// Serves pulls from a table, remembers the children, notifies them of changes and reports them upwards.
-/// Used by balancers (towards agents) and by control (towards balancers).
+/// Used by balancers (towards agents) and by control (towards balancers and other control processes).
+///
+/// A report names a node again only when its confirmed revision changes, when it falls silent and when it is
+/// heard again. In between, a node that was reported alive counts as heard whenever the reporting relay is.
 class relay {
 public:
-    /// `parent_reports` is false for control, which has no parent.
-    relay(bool parent_reports, counters& counted);
+    /// A node that was silent for this long is reported as lost.
+    static constexpr std::chrono::milliseconds silence_limit{4000};
+    /// A node that was silent for this long is forgotten.
+    static constexpr std::chrono::milliseconds forget_limit{12000};
+
+    /// Creates a relay that knows no node yet and counts its events in `counted`.
+    explicit relay(counters& counted);
 
     /// Answers pull_request. `age` is the age of `table`.
     void on_pull(time_point now, const endpoint& from, const wire::pull_request& request,
                  const table_state& table, std::chrono::milliseconds age, outbox& out);
     /// Sends change_notice to children that lag behind `table`, after it has changed.
     void on_table_changed(time_point now, const table_state& table, outbox& out);
-    /// Passes announce and announce_reply between children and `parent`.
-    void on_announce(time_point now, const wire::announce& request, const endpoint& parent, outbox& out);
-    /// Sends the report that is due to `parent`, under the relay's own incarnation.
-    void on_tick(time_point now, incarnation own, const endpoint& own_address, const endpoint& parent,
-                 outbox& out);
+    /// Passes an announcement of a child to `parent`. The answer comes back to `own_address`.
+    void on_announce(time_point now, const wire::announce& request, const endpoint& own_address,
+                     const endpoint& parent, outbox& out);
+    /// Remembers who asked, for a process that answers itself by `on_announce_reply`.
+    void remember_announce(time_point now, const wire::announce& request);
+    /// Passes an answer on to the child that asked. Returns false if no child asked.
+    bool on_announce_reply(time_point now, const wire::announce_reply& reply, outbox& out);
+    /// Takes the report of a relay or control process below this one.
+    void on_report(time_point now, const endpoint& from, const wire::relay_report& report, outbox& out);
+    /// Sends the report that is due to `parent`, under the relay's own incarnation (0 for control), and
+    /// forgets nodes that were silent for long. Without a valid `parent` nothing is sent.
+    void on_tick(time_point now, incarnation own, std::int64_t nonce, const endpoint& parent, outbox& out);
     void on_report_reply(time_point now, const wire::relay_report_reply& reply);
 
+    /// Children that pull from this relay, in order of incarnation.
     [[nodiscard]] const std::vector<child_state>& children() const noexcept { return children_; }
+    /// What is known of `id`, directly or through reports; nothing if it was never heard.
+    [[nodiscard]] std::optional<heard_node> find(incarnation id) const;
+    /// Number of nodes that are remembered, reported ones included.
+    [[nodiscard]] std::size_t size() const noexcept { return nodes_.size(); }
 
 private:
+    // One relay's view of a node. `via` is 0 for a child of this relay.
+    struct sighting {
+        std::uint32_t via = 0;
+        revision confirmed;
+        time_point heard;
+        bool live = true;
+    };
+
+    struct node_record {
+        std::vector<sighting> sightings;
+        // As last acknowledged by the parent.
+        bool reported = false;
+        bool reported_live = false;
+        revision reported_revision;
+    };
+
+    // A relay below this one.
+    struct lower_relay {
+        std::uint32_t number = 0;
+        std::int64_t nonce = 0;
+        std::int64_t sequence = 0;
+        bool complete = false;
+        time_point heard;
+    };
+
+    struct pending_announce {
+        endpoint reply_to;
+        time_point asked;
+    };
+
+    void note_child(time_point now, const endpoint& from, const wire::pull_request& request);
+    void take_children(time_point now, const wire::relay_report& report, const lower_relay& from);
+    void forget_sightings(std::uint32_t via);
+    void forget_silent(time_point now);
+    void send_report(time_point now, incarnation own, std::int64_t nonce, const endpoint& parent,
+                     outbox& out);
+    [[nodiscard]] time_point heard_at(const sighting& s) const;
+    [[nodiscard]] heard_node summary(const node_record& record) const;
+
+    counters* counted_;
     std::vector<child_state> children_;
+    std::map<incarnation, node_record> nodes_;
+    std::map<endpoint, lower_relay> lower_;
+    // Time at which each lower relay was last heard, by its number; number 0 is unused.
+    std::map<std::uint32_t, time_point> lower_heard_;
+    std::uint32_t next_lower_ = 1;
+    std::map<std::int64_t, pending_announce> announces_;
+
+    // Reports upwards.
+    endpoint parent_;
+    std::int64_t sequence_ = 0;
+    bool full_due_ = true;
+    bool urgent_ = false;
+    std::optional<wire::relay_report> unacknowledged_;
+    time_point last_report_;
+    time_point last_scan_;
+    time_point last_cleaned_;
 };
 
 }  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -0,0 +1,324 @@
+#include "peridotcleat/node_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "peridotcleat/hash.h"
+
+namespace peridotcleat {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// Pulls that follow a notice or a packet with a newer revision are at least this far apart.
+constexpr milliseconds urgent_pull_spacing{100};
+// How often a node that was driven from its preferred parent tries it again, so that relays that were
+// restarted get their children back.
+constexpr milliseconds return_interval{30000};
+constexpr milliseconds announce_interval{1000};
+constexpr milliseconds unknown_age{3600000};
+// 40 bits take 6 bytes in each pull; a repeat within one name is as good as impossible.
+constexpr std::uint64_t nonce_mask = (std::uint64_t{1} << 40U) - 1;
+
+std::int64_t draw_nonce(std::mt19937_64& random)
+{
+    return static_cast<std::int64_t>((random() & nonce_mask) | 1U);
+}
+
+std::uint64_t preference(const std::string& name, const endpoint& parent)
+{
+    return combine(hash_bytes(name), (std::uint64_t{parent.address} << 16U) | parent.port);
+}
+
+}  // namespace
+
+result<node_link> node_link::create(node_link_settings settings, counters& counted)
+{
+    if (settings.name.empty()) {
+        return error{error_code::invalid_setting, "name is empty"};
+    }
+    if (settings.parents.empty()) {
+        return error{error_code::invalid_setting, "parents: none given"};
+    }
+    return node_link(std::move(settings), counted);
+}
+
+node_link::node_link(node_link_settings settings, counters& counted)
+    : settings_(std::move(settings)), counted_(&counted),
+      random_(combine(settings_.seed, hash_bytes(settings_.name))), nonce_(draw_nonce(random_))
+{
+    for (const endpoint& address : settings_.parents) {
+        parents_.push_back({address, {}, {}, {}});
+    }
+    std::ranges::sort(parents_, [this](const parent_state& a, const parent_state& b) {
+        return std::pair(preference(settings_.name, a.address), a.address) >
+               std::pair(preference(settings_.name, b.address), b.address);
+    });
+}
+
+void node_link::offer(const target_offer& value) { offer_ = value; }
+
+void node_link::set_state(node_state state)
+{
+    if (state != state_) {
+        state_ = state;
+        next_announce_ = {};
+    }
+}
+
+void node_link::on_message(time_point now, const endpoint& from, const message& m, outbox& out)
+{
+    if (const auto* reply = std::get_if<wire::pull_reply>(&m)) {
+        take_reply(now, from, *reply, out);
+    } else if (const auto* notice = std::get_if<wire::change_notice>(&m)) {
+        on_newer_revision(now, revision{notice->revision}, out);
+    } else if (const auto* answer = std::get_if<wire::announce_reply>(&m)) {
+        take_announce_reply(now, *answer);
+    } else if (const auto* stale = std::get_if<wire::stale_notice>(&m)) {
+        counted_->add(event::stale_notices);
+        on_newer_revision(now, revision{stale->revision}, out);
+    }
+}
+
+void node_link::on_newer_revision(time_point now, revision seen, outbox& out)
+{
+    if (seen > table().current_revision() && now - last_pull_ >= urgent_pull_spacing) {
+        pull(now, current_, out);
+        next_pull_ = now + jittered(settings_.pull_interval);
+    }
+}
+
+void node_link::on_tick(time_point now, outbox& out)
+{
+    if (!started_) {
+        started_ = true;
+        // Processes that start together must not pull together.
+        next_pull_ = now + microseconds(random_() % microseconds(settings_.pull_interval / 4).count());
+        next_return_ = now + return_interval;
+        parents_[current_].good = now;
+    }
+    if (now >= next_pull_) {
+        pull(now, current_, out);
+        probe(now, out);
+        next_pull_ = now + jittered(settings_.pull_interval);
+    }
+    if (now >= next_announce_ && announcement_due()) {
+        announce(now, out);
+        next_announce_ = now + jittered(announce_interval);
+    }
+}
+
+// Pulls from other parents while the current one is late, so that one that is known to answer can take its
+// place. A late parent's children also stay known to control through the parents that are tried.
+void node_link::probe(time_point now, outbox& out)
+{
+    if (parents_.size() < 2) {
+        return;
+    }
+    if (now - parents_[current_].good > settings_.pull_interval * 3 / 2) {
+        do {
+            next_probe_ = (next_probe_ + 1) % parents_.size();
+        } while (next_probe_ == current_);
+        pull(now, next_probe_, out);
+    } else if (current_ != 0 && now >= next_return_) {
+        next_return_ = now + jittered(return_interval);
+        pull(now, 0, out);
+    }
+}
+
+void node_link::pull(time_point now, std::size_t index, outbox& out)
+{
+    wire::pull_request request;
+    request.node = id_.value;
+    request.nonce = nonce_;
+    copy_.fill(request);
+    parent_state& parent = parents_[index];
+    if (!parent.unanswered) {
+        parent.unanswered = now;
+    }
+    if (index == current_) {
+        last_pull_ = now;
+    }
+    out.send(parent.address, std::move(request));
+}
+
+void node_link::take_reply(time_point now, const endpoint& from, const wire::pull_reply& reply, outbox& out)
+{
+    const auto it = std::ranges::find(parents_, from, &parent_state::address);
+    if (it == parents_.end() || reply.nonce != nonce_ || !it->unanswered) {
+        return;
+    }
+    const std::size_t index = static_cast<std::size_t>(it - parents_.begin());
+    // The reply may answer any pull that is open; the earliest one gives the highest age.
+    const time_point as_of = *it->unanswered - milliseconds(reply.age_ms);
+    it->unanswered.reset();
+    it->fresh_as_of = std::max(it->fresh_as_of, as_of);
+    const bool behind = revision{reply.page.revision} < table().current_revision();
+    if (!behind && milliseconds(reply.age_ms) <= settings_.parent_timeout) {
+        it->good = now;
+    }
+    const page_outcome outcome = copy_.take(reply.page, touched_);
+    if (outcome == page_outcome::applied || outcome == page_outcome::current) {
+        complete_as_of_ = std::max(complete_as_of_.value_or(as_of), as_of);
+    }
+    if (outcome == page_outcome::applied) {
+        counted_->add(event::pages_applied);
+        changed_ = true;
+        find_own_entry();
+    }
+    if (outcome == page_outcome::mismatch) {
+        counted_->add(event::digest_mismatches);
+    }
+    update_parent(now, index);
+    // A page that brought nothing new waits for the next regular pull: the parent is short of bandwidth.
+    const bool advanced = reply.page.position != reply.page.start;
+    if (outcome == page_outcome::mismatch || (outcome == page_outcome::staged && advanced)) {
+        pull(now, index, out);
+        next_pull_ = now + jittered(settings_.pull_interval);
+    }
+}
+
+// Makes the parent `index`, which has just replied, the current one if it is better.
+void node_link::update_parent(time_point now, std::size_t index)
+{
+    if (index == current_) {
+        return;
+    }
+    const parent_state& current = parents_[current_];
+    const parent_state& other = parents_[index];
+    const bool other_good = other.good == now;
+    const bool current_late = now - current.good > settings_.parent_timeout;
+    const bool fresher = other.fresh_as_of > current.fresh_as_of + settings_.pull_interval;
+    const bool preferred = index == 0 && other_good;
+    if (preferred || (current_late && (other_good || fresher))) {
+        current_ = index;
+        next_return_ = now + jittered(return_interval);
+        counted_->add(event::parent_changes);
+    }
+}
+
+bool node_link::announcement_due() const
+{
+    if (settings_.role == node_role::target && !offer_) {
+        return false;
+    }
+    if (!id_.valid()) {
+        return state_ != node_state::leaving;
+    }
+    if (removed_ || state_ == node_state::active) {
+        return false;
+    }
+    if (state_ == node_state::leaving || settings_.role == node_role::balancer) {
+        return state_ == node_state::leaving;
+    }
+    const auto own = table().targets().find(id_);
+    return own == table().targets().end() || !own->second.draining;
+}
+
+void node_link::announce(time_point /*now*/, outbox& out)
+{
+    wire::announce a;
+    a.nonce = nonce_;
+    a.role = static_cast<std::int8_t>(settings_.role);
+    a.name = settings_.name;
+    a.zone = settings_.zone;
+    a.address = to_wire(settings_.address);
+    a.reply_to = to_wire(settings_.address);
+    if (offer_) {
+        a.__set_service_name(offer_->service_name);
+        a.__set_slots(static_cast<std::int32_t>(offer_->slots));
+        a.__set_connections(static_cast<std::int32_t>(offer_->connections));
+    }
+    a.state = static_cast<std::int8_t>(state_);
+    a.hops = 0;
+    out.send(parent(), std::move(a));
+}
+
+void node_link::take_announce_reply(time_point now, const wire::announce_reply& reply)
+{
+    if (reply.nonce != nonce_) {
+        return;
+    }
+    if (!id_.valid() && reply.incarnation != 0) {
+        joined(incarnation{reply.incarnation});
+        find_own_entry();
+    }
+    if (reply.retry_after_ms > 0) {
+        next_announce_ = std::max(next_announce_, now + milliseconds(reply.retry_after_ms));
+    }
+}
+
+void node_link::joined(incarnation id)
+{
+    id_ = id;
+    removed_ = false;
+    counted_->add(event::joins);
+}
+
+bool node_link::listed(incarnation id) const
+{
+    return settings_.role == node_role::target ? table().targets().contains(id)
+                                               : table().nodes().contains(id);
+}
+
+// Takes the identity from the table if the reply was lost, and finds out that the node was removed.
+void node_link::find_own_entry()
+{
+    const auto own_nonce = [this](const auto& entry) {
+        return entry.second.nonce == nonce_ && entry.second.name == settings_.name;
+    };
+    if (!id_.valid()) {
+        const auto& targets = table().targets();
+        const auto& nodes = table().nodes();
+        if (settings_.role == node_role::target) {
+            const auto it = std::ranges::find_if(targets, own_nonce);
+            if (it != targets.end()) {
+                joined(it->first);
+            }
+        } else if (const auto it = std::ranges::find_if(nodes, own_nonce); it != nodes.end()) {
+            joined(it->first);
+        }
+    }
+    if (!id_.valid() || removed_ || table().current_revision().value < id_.value || listed(id_)) {
+        return;
+    }
+    removed_ = true;
+    counted_->add(event::leaves);
+    if (state_ != node_state::leaving) {
+        // Removed while alive, for example after a long partition: a new incarnation joins.
+        id_ = {};
+        nonce_ = draw_nonce(random_);
+        next_announce_ = {};
+    }
+}
+
+bool node_link::ready() const noexcept
+{
+    return id_.valid() && !removed_ && table().current_revision().value >= id_.value;
+}
+
+milliseconds node_link::age(time_point now) const
+{
+    if (!complete_as_of_) {
+        return unknown_age;
+    }
+    return std::chrono::duration_cast<milliseconds>(
+        std::min<clock::duration>(now - *complete_as_of_, unknown_age));
+}
+
+std::vector<service_id> node_link::take_touched(bool& changed)
+{
+    changed = std::exchange(changed_, false);
+    return std::exchange(touched_, {});
+}
+
+// Spreads the pulls of many nodes evenly: within 10 % of the interval.
+microseconds node_link::jittered(microseconds interval)
+{
+    const auto tenth = static_cast<std::uint64_t>(std::max<std::int64_t>(interval.count() / 10, 1));
+    return interval - microseconds(tenth) + microseconds(random_() % (2 * tenth));
+}
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/version/relay.cpp
@@ -0,0 +1,337 @@
+#include "peridotcleat/relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotcleat {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Children that pulled within this time are notified of changes.
+constexpr milliseconds notice_window{5000};
+// Spacing of reports: normally, when a node was heard for the first time or is lost, and without any change.
+constexpr milliseconds report_interval{1000};
+constexpr milliseconds urgent_report_interval{200};
+constexpr milliseconds idle_report_interval{5000};
+// Control processes have no pulls by which their parent hears them.
+constexpr milliseconds control_report_interval{500};
+constexpr milliseconds announce_memory{10000};
+constexpr milliseconds max_age{3600000};
+// An announcement passes a balancer, a follower and perhaps a former leader.
+constexpr int max_announce_hops = 4;
+// Room for the fields of a pull_reply beside the objects of its page.
+constexpr std::size_t page_overhead = 100;
+// A child_report takes up to 24 bytes.
+constexpr std::size_t max_children_per_report = 45;
+
+}  // namespace
+
+relay::relay(counters& counted) : counted_(&counted) {}
+
+void relay::on_pull(time_point now, const endpoint& from, const wire::pull_request& request,
+                    const table_state& table, milliseconds age, outbox& out)
+{
+    note_child(now, from, request);
+    wire::cursor position = request.position;
+    bool full = request.full;
+    if (revision{request.revision} == table.current_revision() &&
+        static_cast<std::uint64_t>(request.digest) != table.digest()) {
+        // The copy differs although it claims the same revision: it starts over.
+        position = {};
+        full = true;
+    }
+    wire::pull_reply reply;
+    reply.nonce = request.nonce;
+    reply.age_ms = static_cast<std::int32_t>(std::clamp(age, milliseconds(0), max_age).count());
+    reply.page = table.delta(position, full, max_control_body - page_overhead);
+    counted_->add(event::pages_sent);
+    if (reply.page.full && reply.page.complete) {
+        counted_->add(event::full_tables_sent);
+    }
+    out.send(from, std::move(reply));
+}
+
+void relay::note_child(time_point now, const endpoint& from, const wire::pull_request& request)
+{
+    if (const auto it = lower_.find(from); it != lower_.end()) {
+        it->second.heard = now;
+        lower_heard_[it->second.number] = now;
+    }
+    const incarnation id{request.node};
+    if (!id.valid()) {
+        return;
+    }
+    auto child = std::ranges::lower_bound(children_, id, {}, &child_state::id);
+    if (child == children_.end() || child->id != id) {
+        child = children_.insert(child, {id, from, {}, now, {}});
+        urgent_ = true;
+    }
+    child->address = from;
+    child->heard = now;
+    child->confirmed = std::max(child->confirmed, revision{request.revision});
+
+    node_record& record = nodes_[id];
+    const auto own = std::ranges::find(record.sightings, 0U, &sighting::via);
+    if (own == record.sightings.end()) {
+        record.sightings.push_back({0, child->confirmed, now, true});
+    } else {
+        own->confirmed = child->confirmed;
+        own->heard = now;
+    }
+}
+
+void relay::on_table_changed(time_point now, const table_state& table, outbox& out)
+{
+    wire::change_notice notice;
+    notice.revision = table.current_revision().value;
+    for (child_state& child : children_) {
+        if (child.confirmed < table.current_revision() && child.notified < table.current_revision() &&
+            now - child.heard <= notice_window) {
+            child.notified = table.current_revision();
+            out.send(child.address, notice);
+        }
+    }
+}
+
+void relay::on_announce(time_point now, const wire::announce& request, const endpoint& own_address,
+                        const endpoint& parent, outbox& out)
+{
+    if (request.hops >= max_announce_hops || !parent.valid() || parent == own_address) {
+        return;
+    }
+    if (from_wire(request.reply_to) == own_address) {
+        return;
+    }
+    remember_announce(now, request);
+    wire::announce passed = request;
+    passed.reply_to = to_wire(own_address);
+    ++passed.hops;
+    out.send(parent, std::move(passed));
+}
+
+void relay::remember_announce(time_point now, const wire::announce& request)
+{
+    std::erase_if(announces_, [now](const auto& a) { return now - a.second.asked > announce_memory; });
+    announces_[request.nonce] = {from_wire(request.reply_to), now};
+}
+
+bool relay::on_announce_reply(time_point /*now*/, const wire::announce_reply& reply, outbox& out)
+{
+    const auto it = announces_.find(reply.nonce);
+    if (it == announces_.end()) {
+        return false;
+    }
+    out.send(it->second.reply_to, reply);
+    announces_.erase(it);
+    return true;
+}
+
+void relay::on_report(time_point now, const endpoint& from, const wire::relay_report& report, outbox& out)
+{
+    lower_relay& sender = lower_[from];
+    if (sender.number == 0) {
+        sender.number = next_lower_++;
+    }
+    if (sender.nonce != report.nonce) {
+        forget_sightings(sender.number);
+        sender.nonce = report.nonce;
+        sender.sequence = 0;
+        sender.complete = false;
+    }
+    wire::relay_report_reply reply;
+    reply.nonce = report.nonce;
+    reply.sequence = report.sequence;
+    // A report that was overtaken by a later one describes the past.
+    if (report.sequence > sender.sequence) {
+        sender.sequence = report.sequence;
+        sender.heard = now;
+        lower_heard_[sender.number] = now;
+        if (report.full) {
+            forget_sightings(sender.number);
+            sender.complete = true;
+        }
+        if (sender.complete) {
+            take_children(now, report, sender);
+        }
+    }
+    reply.send_full = !sender.complete;
+    out.send(from, reply);
+}
+
+void relay::take_children(time_point now, const wire::relay_report& report, const lower_relay& from)
+{
+    for (const wire::child_report& child : report.children) {
+        const incarnation id{child.node};
+        const milliseconds silent{child.silent_ms};
+        const bool live = silent < silence_limit;
+        if (!id.valid() || (!live && silent > forget_limit)) {
+            continue;
+        }
+        node_record& record = nodes_[id];
+        auto seen = std::ranges::find(record.sightings, from.number, &sighting::via);
+        if (seen == record.sightings.end()) {
+            record.sightings.push_back({from.number, {}, {}, live});
+            seen = record.sightings.end() - 1;
+        }
+        urgent_ = urgent_ || !record.reported;
+        seen->confirmed = std::max(seen->confirmed, revision{child.revision});
+        seen->heard = now - silent;
+        seen->live = live;
+    }
+}
+
+void relay::forget_sightings(std::uint32_t via)
+{
+    for (auto& [id, record] : nodes_) {
+        std::erase_if(record.sightings, [via](const sighting& s) { return s.via == via; });
+    }
+}
+
+time_point relay::heard_at(const sighting& s) const
+{
+    if (s.via == 0 || !s.live) {
+        return s.heard;
+    }
+    const auto it = lower_heard_.find(s.via);
+    return it == lower_heard_.end() ? s.heard : std::max(s.heard, it->second);
+}
+
+heard_node relay::summary(const node_record& record) const
+{
+    heard_node all;
+    for (const sighting& s : record.sightings) {
+        all.confirmed = std::max(all.confirmed, s.confirmed);
+        all.heard = std::max(all.heard, heard_at(s));
+    }
+    return all;
+}
+
+std::optional<heard_node> relay::find(incarnation id) const
+{
+    const auto it = nodes_.find(id);
+    if (it == nodes_.end() || it->second.sightings.empty()) {
+        return std::nullopt;
+    }
+    return summary(it->second);
+}
+
+void relay::forget_silent(time_point now)
+{
+    const auto silent = [now](time_point heard) { return now - heard > forget_limit; };
+    std::erase_if(children_, [&](const child_state& c) { return silent(c.heard); });
+    for (auto& [id, record] : nodes_) {
+        std::erase_if(record.sightings, [&](const sighting& s) { return silent(heard_at(s)); });
+    }
+    std::erase_if(nodes_, [](const auto& n) { return n.second.sightings.empty(); });
+    for (auto it = lower_.begin(); it != lower_.end();) {
+        if (silent(it->second.heard)) {
+            lower_heard_.erase(it->second.number);
+            it = lower_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void relay::on_tick(time_point now, incarnation own, std::int64_t nonce, const endpoint& parent, outbox& out)
+{
+    if (now - last_cleaned_ >= report_interval) {
+        last_cleaned_ = now;
+        forget_silent(now);
+    }
+    if (!parent.valid()) {
+        return;
+    }
+    if (parent != parent_) {
+        parent_ = parent;
+        full_due_ = true;
+        urgent_ = true;
+    }
+    const milliseconds regular = own.valid() ? report_interval : control_report_interval;
+    const milliseconds spacing = urgent_ ? urgent_report_interval : regular;
+    if (now - last_scan_ >= spacing) {
+        last_scan_ = now;
+        send_report(now, own, nonce, parent, out);
+    }
+}
+
+void relay::send_report(time_point now, incarnation own, std::int64_t nonce, const endpoint& parent,
+                        outbox& out)
+{
+    wire::relay_report report;
+    report.relay = own.value;
+    report.nonce = nonce;
+    report.full = full_due_;
+    report.lowest_revision = 0;
+    report.live_children = 0;
+    bool more = false;
+    for (const auto& [id, record] : nodes_) {
+        const heard_node state = summary(record);
+        const bool live = now - state.heard < silence_limit;
+        if (live) {
+            ++report.live_children;
+            report.lowest_revision = report.lowest_revision == 0
+                                         ? state.confirmed.value
+                                         : std::min(report.lowest_revision, state.confirmed.value);
+        }
+        const bool known = !full_due_ && record.reported && record.reported_live == live &&
+                           record.reported_revision == state.confirmed;
+        if (known || record.sightings.empty()) {
+            continue;
+        }
+        if (report.children.size() == max_children_per_report) {
+            more = true;
+            continue;
+        }
+        wire::child_report child;
+        child.node = id.value;
+        child.revision = state.confirmed.value;
+        // How long a live child was silent is of no use, and zero is the shortest to send.
+        child.silent_ms = live ? 0
+                               : static_cast<std::int32_t>(
+                                     std::chrono::duration_cast<milliseconds>(now - state.heard).count());
+        report.children.push_back(child);
+    }
+    urgent_ = more;
+    const milliseconds idle = own.valid() ? idle_report_interval : control_report_interval;
+    if (report.children.empty() && !report.full && now - last_report_ < idle) {
+        return;
+    }
+    last_report_ = now;
+    report.sequence = ++sequence_;
+    unacknowledged_ = report;
+    out.send(parent, std::move(report));
+}
+
+void relay::on_report_reply(time_point /*now*/, const wire::relay_report_reply& reply)
+{
+    if (!unacknowledged_ || reply.sequence != unacknowledged_->sequence ||
+        reply.nonce != unacknowledged_->nonce) {
+        return;
+    }
+    if (reply.send_full) {
+        full_due_ = true;
+        urgent_ = true;
+        unacknowledged_.reset();
+        return;
+    }
+    if (unacknowledged_->full) {
+        full_due_ = false;
+        for (auto& [id, record] : nodes_) {
+            record.reported = false;
+        }
+    }
+    for (const wire::child_report& child : unacknowledged_->children) {
+        const auto it = nodes_.find(incarnation{child.node});
+        if (it != nodes_.end()) {
+            it->second.reported = true;
+            it->second.reported_live = milliseconds(child.silent_ms) < silence_limit;
+            it->second.reported_revision = revision{child.revision};
+        }
+    }
+    unacknowledged_.reset();
+}
+
+}  // namespace peridotcleat
