--- a/src/include/peridotcleat/replica.h
+++ b/src/include/peridotcleat/replica.h
@@ -1,48 +1,22 @@
 #pragma once
 
-#include <chrono>
 #include <concepts>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
-#include "peridotcleat/counters.h"
-#include "peridotcleat/outbox.h"
+#include "peridotcleat/replica_core.h"
 
 namespace peridotcleat {
 
-/// Who a data folder belongs to.
-struct folder_identity {
-    cluster_id cluster;
-    std::string node;
-    folder_id folder;
-};
-
-/// Term and vote, durable before any message that depends on them is sent.
-struct hard_state {
-    std::int64_t term = 0;
-    folder_id voted_for;
-};
-
-/// A snapshot of the replicated state.
-struct stored_snapshot {
-    std::int64_t index = 0;
-    std::int64_t term = 0;
-    wire::member_list members;
-    std::string state;
-};
-
-/// What a data folder holds when it is opened.
-struct stored_state {
-    folder_identity identity;
-    hard_state hard;
-    std::optional<stored_snapshot> snapshot;
-    std::vector<wire::log_entry> entries;
-};
-
 /// Durable storage of one replica. Writes count only after `sync` has succeeded; a write or sync that has
 /// failed once fails for ever, because the state of the disk is then unknown.
+///
+/// After a crash a prefix of the writes since the last sync is in force. `write_snapshot` removes the entries
+/// up to the snapshot's index; later ones are kept only if the entry at that index has the snapshot's term.
 template <class S>
 concept log_storage = requires(S s, const hard_state& hard, const std::vector<wire::log_entry>& entries,
                                std::int64_t index, const stored_snapshot& snapshot)
@@ -67,33 +41,136 @@
         } -> std::same_as<result<success>>;
 };
 
-/// Durations of the replication protocol.
-struct replica_timing {
-    std::chrono::milliseconds heartbeat{400};
-    std::chrono::milliseconds election_low{2000};
-    std::chrono::milliseconds election_high{4000};
-    std::chrono::milliseconds leader_lease{1600};
-};
+/// One member of the group that replicates the log. Has no socket, thread or clock; not thread-safe.
+///
+/// The host hands over messages and ticks, then calls `flush`, once for many events if it likes. Nothing that
+/// depends on an unsynced write is sent before `flush` has synced it. After a failed write or sync the
+/// replica is stopped for ever: `flush` returns the error and all other calls do nothing or fail with
+/// `stopped`.
+template <log_storage Storage>
+class replica {
+public:
+    /// Opens the replica on what `storage` holds. A stored snapshot is given out by
+    /// `take_installed_snapshot`. Fails as `Storage::load` does, or with `log_corrupt`.
+    static result<replica> open(replica_settings settings, Storage storage, time_point now)
+    {
+        auto stored = storage.load();
+        if (!has_value(stored)) {
+            return failure(stored);
+        }
+        auto core = pvt::replica_core::open(std::move(settings), value(std::move(stored)), now);
+        if (!has_value(core)) {
+            return failure(core);
+        }
+        return replica(value(std::move(core)), std::move(storage));
+    }
 
-/// Settings of a replica.
-struct replica_settings {
-    std::string name;
-    endpoint address;
-    /// Control processes to contact, this one included.
-    std::vector<endpoint> peers;
-    /// True on the first start of a new cluster only.
-    bool bootstrap = false;
-    /// Names and addresses of the first members; used with `bootstrap` only. Their folder ids are exchanged
-    /// before the first election.
-    std::vector<wire::member> first_members;
-    replica_timing timing;
-    std::uint64_t seed = 0;
-};
+    /// Handles one message of another replica. Kinds that do not concern the log are ignored.
+    void on_message(time_point now, const endpoint& from, const message& m, outbox& out)
+    {
+        core_.on_message(now, from, m, out);
+    }
+
+    /// Lets time pass. Call at least every 50 ms.
+    void on_tick(time_point now, outbox& out) { core_.on_tick(now, out); }
+
+    /// Persists everything staged with a single sync, then sends what waited for it. Fails with the storage's
+    /// error, the same one on each later call.
+    result<success> flush(time_point now, outbox& out)
+    {
+        if (core_.stopped()) {
+            return core_.stop_reason();
+        }
+        const std::vector<pvt::staged_write> writes = core_.take_writes();
+        if (!writes.empty()) {
+            for (const pvt::staged_write& w : writes) {
+                if (const auto written = store(w); !has_value(written)) {
+                    return core_.stop(failure(written));
+                }
+            }
+            if (const auto synced = storage_.sync(); !has_value(synced)) {
+                return core_.stop(failure(synced));
+            }
+        }
+        core_.on_synced(now, out);
+        return success{};
+    }
+
+    /// Stages an entry of kind 1 and returns its place. Fails with `not_leader`, `no_quorum` (the lease has
+    /// lapsed), `message_too_large` or `stopped`; then the entry is not in the log.
+    result<log_position> propose(time_point now, std::string data)
+    {
+        return core_.propose(now, std::move(data));
+    }
+
+    /// Returns the entries that became committed and durable here since the last call, in order, each index
+    /// once. Includes kinds that carry no change, so that `index` has no gaps after a snapshot.
+    std::vector<wire::log_entry> take_committed() { return core_.take_committed(); }
+
+    /// Returns a snapshot that replaces the host's state, at most once each. Take it before the entries.
+    std::optional<stored_snapshot> take_installed_snapshot() { return core_.take_installed_snapshot(); }
+
+    /// Stages a snapshot of the host's state after entry `index` and removes the entries up to it. `index`
+    /// must have been handed out by `take_committed`; else fails with `invalid_setting`.
+    result<success> compact(std::int64_t index, std::string state)
+    {
+        return core_.compact(index, std::move(state));
+    }
+
+    /// Starts a linearizable read. Fails with `not_leader`, `no_quorum` or `stopped`.
+    result<read_ticket> begin_read(time_point now) { return core_.begin_read(now); }
+
+    /// Returns true once a quorum has confirmed the leadership in a round that began after `begin_read`; the
+    /// host answers from a state that reflects at least `ticket.index`. Fails with `not_leader` if the
+    /// leadership was lost meanwhile.
+    [[nodiscard]] result<bool> read_ready(const read_ticket& ticket) const
+    {
+        return core_.read_ready(ticket);
+    }
+
+    /// Returns true if this is a leader that heard from a quorum within the lease.
+    [[nodiscard]] bool lease_valid(time_point now) const { return core_.lease_valid(now); }
+    [[nodiscard]] bool is_leader() const noexcept { return core_.is_leader(); }
+    [[nodiscard]] std::int64_t term() const noexcept { return core_.term(); }
+    /// Index up to which entries are known to be committed.
+    [[nodiscard]] std::int64_t commit_index() const noexcept { return core_.commit_index(); }
+    /// Returns the leader of this term, if it is known.
+    [[nodiscard]] std::optional<endpoint> leader() const { return core_.leader(); }
+    /// Returns the time since a leader had a quorum, as far as this replica knows: under a second while all
+    /// is well. The delay of the last message from the leader is not contained.
+    [[nodiscard]] std::chrono::milliseconds quorum_age(time_point now) const { return core_.quorum_age(now); }
+    /// Returns the last member list in the log; empty on a replica that has not joined.
+    [[nodiscard]] const std::vector<wire::member>& members() const { return core_.members(); }
+    [[nodiscard]] const folder_identity& identity() const noexcept { return core_.identity(); }
+    [[nodiscard]] const counters& counts() const noexcept { return core_.counts(); }
+    [[nodiscard]] bool stopped() const noexcept { return core_.stopped(); }
+
+    /// Proposes to remove the member called `name`. Its process should be stopped. Fails with `not_leader`,
+    /// `no_quorum`, `member_unknown`, `member_change_pending` or `stopped`.
+    result<log_position> remove_member(time_point now, const std::string& name)
+    {
+        return core_.remove_member(now, name);
+    }
+
+private:
+    replica(pvt::replica_core core, Storage storage) : core_(std::move(core)), storage_(std::move(storage)) {}
+
+    result<success> store(const pvt::staged_write& w)
+    {
+        if (const auto* hard = std::get_if<hard_state>(&w)) {
+            return storage_.write_hard_state(*hard);
+        }
+        if (const auto* entries = std::get_if<std::vector<wire::log_entry>>(&w)) {
+            return storage_.append(*entries);
+        }
+        if (const auto* cut = std::get_if<pvt::truncation>(&w)) {
+            return storage_.truncate_from(cut->from);
+        }
+        return storage_.write_snapshot(std::get<stored_snapshot>(w));
+    }
 
-/// Place of a proposed entry; it is committed only if the entry at `index` has this `term`.
-struct log_position {
-    std::int64_t index = 0;
-    std::int64_t term = 0;
+    pvt::replica_core core_;
+    Storage storage_;
 };
 
 }  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/version/replica_snapshot.cpp
@@ -0,0 +1,152 @@
+#include <algorithm>
+#include <utility>
+
+#include "peridotcleat/replica_core.h"
+
+namespace peridotcleat::pvt {
+
+namespace {
+
+constexpr std::chrono::milliseconds retransmit_after{200};
+constexpr std::int64_t chunk_size = 1000;
+constexpr std::int64_t chunk_window = 32 * chunk_size;
+// What `decode_struct` accepts; a larger snapshot could not be read back.
+constexpr std::int64_t max_snapshot = 64 << 20;
+
+}  // namespace
+
+void replica_core::send_chunk(const wire::member& to, progress& p, std::int64_t offset, outbox& out)
+{
+    const stored_snapshot& s = *log_.snapshot();
+    if (p.snapshot != s.index) {
+        p.snapshot = s.index;
+        p.acked_offset = p.sent_offset = offset = 0;
+    }
+    wire::snapshot_chunk c;
+    c.term = hard_.term;
+    c.leader = self();
+    c.last_index = s.index;
+    c.last_term = s.term;
+    c.offset = offset;
+    c.total = static_cast<std::int64_t>(s.state.size());
+    c.round = round_;
+    std::int64_t room = chunk_size;
+    if (offset == 0) {
+        // Only the first chunk carries the members; they take room from the data.
+        c.members = s.members;
+        room = std::max<std::int64_t>(chunk_size - static_cast<std::int64_t>(encode_struct(s.members).size()),
+                                      100);
+    }
+    c.data = s.state.substr(static_cast<std::size_t>(offset), static_cast<std::size_t>(room));
+    p.sent_offset = std::max(p.sent_offset, offset + static_cast<std::int64_t>(c.data.size()));
+    send(from_wire(to.address), std::move(c), out);
+}
+
+void replica_core::send_chunks(time_point now, const wire::member& to, progress& p, outbox& out)
+{
+    const stored_snapshot& s = *log_.snapshot();
+    if (p.snapshot != s.index) {
+        p.moved_at = now;
+        send_chunk(to, p, 0, out);
+    }
+    if (now - p.moved_at > retransmit_after) {
+        p.moved_at = now;
+        p.sent_offset = p.acked_offset;
+    }
+    while (p.sent_offset < static_cast<std::int64_t>(s.state.size()) &&
+           p.sent_offset - p.acked_offset < chunk_window) {
+        send_chunk(to, p, p.sent_offset, out);
+    }
+}
+
+void replica_core::handle(time_point now, const endpoint& from, const wire::snapshot_chunk& m, outbox& out)
+{
+    wire::snapshot_reply reply;
+    reply.follower = self();
+    reply.last_index = m.last_index;
+    reply.round = m.round;
+    if (m.term < hard_.term || (m.term == hard_.term && role_ == role::leader)) {
+        reply.term = hard_.term;
+        send(from, reply, out);
+        return;
+    }
+    adopt_leader(m.term, from, now);
+    reply.term = hard_.term;
+    if (m.last_index <= commit_) {
+        reply.next_offset = m.total;
+    } else {
+        reply.next_offset = take_chunk(m);
+        if (incoming_ && reply.next_offset == incoming_->total) {
+            install();
+        }
+    }
+    send(from, reply, out);
+}
+
+std::int64_t replica_core::take_chunk(const wire::snapshot_chunk& m)
+{
+    const bool same = incoming_ && incoming_->snapshot.index == m.last_index &&
+                      incoming_->snapshot.term == m.last_term && incoming_->total == m.total &&
+                      incoming_->leader == m.leader;
+    if (!same) {
+        if (m.offset != 0 || m.total < 0 || m.total > max_snapshot) {
+            // Never the size of another snapshot: the leader would take it for its own.
+            return 0;
+        }
+        incoming_ = incoming{{m.last_index, m.last_term, m.members, {}}, m.total, m.leader};
+    }
+    std::string& state = incoming_->snapshot.state;
+    if (m.offset == static_cast<std::int64_t>(state.size()) &&
+        m.offset + static_cast<std::int64_t>(m.data.size()) <= m.total) {
+        state += m.data;
+    }
+    return static_cast<std::int64_t>(state.size());
+}
+
+void replica_core::install()
+{
+    stored_snapshot s = std::move(incoming_->snapshot);
+    incoming_.reset();
+    commit_ = delivered_ = s.index;
+    installed_ = s;
+    writes_.emplace_back(s);
+    log_.compact(std::move(s));
+    durable_ = std::min(std::max(durable_, log_.base_index()), log_.last_index());
+    counters_->add(event::snapshots_installed);
+}
+
+void replica_core::handle(time_point now, const endpoint& /*from*/, const wire::snapshot_reply& m,
+                          outbox& /*out*/)
+{
+    if (m.term > hard_.term) {
+        become_follower(m.term, now);
+        return;
+    }
+    const auto it = progress_.find(m.follower);
+    if (role_ != role::leader || m.term != hard_.term || it == progress_.end()) {
+        return;
+    }
+    progress& p = it->second;
+    note_reply(now, p, m.round);
+    if (m.last_index != p.snapshot || !log_.snapshot() || log_.base_index() != p.snapshot) {
+        return;
+    }
+    const auto total = static_cast<std::int64_t>(log_.snapshot()->state.size());
+    if (m.next_offset >= total) {
+        p.match = std::max(p.match, m.last_index);
+        p.next = std::max(p.next, p.match + 1);
+        p.snapshot = p.acked_offset = p.sent_offset = 0;
+        p.in_flight.clear();
+        p.moved_at = now;
+        advance_commit(now);
+        return;
+    }
+    // Zero after progress means that the follower has restarted and holds nothing of the snapshot.
+    if (m.next_offset > p.acked_offset || (m.next_offset == 0 && p.acked_offset > 0)) {
+        p.acked_offset = m.next_offset;
+        p.sent_offset = m.next_offset == 0 ? 0 : std::max(p.sent_offset, m.next_offset);
+        p.moved_at = now;
+    }
+}
+
+}  // namespace peridotcleat::pvt
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -2389,6 +2389,10 @@
 void vote_reply::__set_granted(const bool val) {
   this->granted = val;
 }
+
+void vote_reply::__set_candidate(const int64_t val) {
+  this->candidate = val;
+}
 std::ostream& operator<<(std::ostream& out, const vote_reply& obj)
 {
   obj.printTo(out);
@@ -2402,6 +2406,7 @@
   swap(a.term, b.term);
   swap(a.voter, b.voter);
   swap(a.granted, b.granted);
+  swap(a.candidate, b.candidate);
 }
 
 vote_reply::vote_reply(const vote_reply& other180) noexcept {
@@ -2409,18 +2414,21 @@
   term = other180.term;
   voter = other180.voter;
   granted = other180.granted;
+  candidate = other180.candidate;
 }
 vote_reply::vote_reply(vote_reply&& other181) noexcept {
   pre_vote = other181.pre_vote;
   term = other181.term;
   voter = other181.voter;
   granted = other181.granted;
+  candidate = other181.candidate;
 }
 vote_reply& vote_reply::operator=(const vote_reply& other182) noexcept {
   pre_vote = other182.pre_vote;
   term = other182.term;
   voter = other182.voter;
   granted = other182.granted;
+  candidate = other182.candidate;
   return *this;
 }
 vote_reply& vote_reply::operator=(vote_reply&& other183) noexcept {
@@ -2428,6 +2436,7 @@
   term = other183.term;
   voter = other183.voter;
   granted = other183.granted;
+  candidate = other183.candidate;
   return *this;
 }
 void vote_reply::printTo(std::ostream& out) const {
@@ -2437,6 +2446,7 @@
   out << ", " << "term=" << to_string(term);
   out << ", " << "voter=" << to_string(voter);
   out << ", " << "granted=" << to_string(granted);
+  out << ", " << "candidate=" << to_string(candidate);
   out << ")";
 }
 
@@ -2472,6 +2482,10 @@
 void append_request::__set_entries(const std::vector<log_entry> & val) {
   this->entries = val;
 }
+
+void append_request::__set_quorum_age_ms(const int32_t val) {
+  this->quorum_age_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const append_request& obj)
 {
   obj.printTo(out);
@@ -2488,6 +2502,7 @@
   swap(a.commit, b.commit);
   swap(a.round, b.round);
   swap(a.entries, b.entries);
+  swap(a.quorum_age_ms, b.quorum_age_ms);
 }
 
 append_request::append_request(const append_request& other190) {
@@ -2498,6 +2513,7 @@
   commit = other190.commit;
   round = other190.round;
   entries = other190.entries;
+  quorum_age_ms = other190.quorum_age_ms;
 }
 append_request::append_request(append_request&& other191) noexcept {
   term = other191.term;
@@ -2507,6 +2523,7 @@
   commit = other191.commit;
   round = other191.round;
   entries = std::move(other191.entries);
+  quorum_age_ms = other191.quorum_age_ms;
 }
 append_request& append_request::operator=(const append_request& other192) {
   term = other192.term;
@@ -2516,6 +2533,7 @@
   commit = other192.commit;
   round = other192.round;
   entries = other192.entries;
+  quorum_age_ms = other192.quorum_age_ms;
   return *this;
 }
 append_request& append_request::operator=(append_request&& other193) noexcept {
@@ -2526,6 +2544,7 @@
   commit = other193.commit;
   round = other193.round;
   entries = std::move(other193.entries);
+  quorum_age_ms = other193.quorum_age_ms;
   return *this;
 }
 void append_request::printTo(std::ostream& out) const {
@@ -2538,6 +2557,7 @@
   out << ", " << "commit=" << to_string(commit);
   out << ", " << "round=" << to_string(round);
   out << ", " << "entries=" << to_string(entries);
+  out << ", " << "quorum_age_ms=" << to_string(quorum_age_ms);
   out << ")";
 }
 
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -2080,7 +2080,8 @@
              : pre_vote(0),
                term(0),
                voter(0),
-               granted(0) {
+               granted(0),
+               candidate(0) {
   }
 
   virtual ~vote_reply() noexcept;
@@ -2088,6 +2089,7 @@
   int64_t term;
   int64_t voter;
   bool granted;
+  int64_t candidate;
 
   void __set_pre_vote(const bool val);
 
@@ -2097,6 +2099,8 @@
 
   void __set_granted(const bool val);
 
+  void __set_candidate(const int64_t val);
+
   bool operator == (const vote_reply & rhs) const
   {
     if (!(pre_vote == rhs.pre_vote))
@@ -2107,6 +2111,8 @@
       return false;
     if (!(granted == rhs.granted))
       return false;
+    if (!(candidate == rhs.candidate))
+      return false;
     return true;
   }
   bool operator != (const vote_reply &rhs) const {
@@ -2141,7 +2147,8 @@
                    previous_index(0),
                    previous_term(0),
                    commit(0),
-                   round(0) {
+                   round(0),
+                   quorum_age_ms(0) {
   }
 
   virtual ~append_request() noexcept;
@@ -2152,6 +2159,7 @@
   int64_t commit;
   int64_t round;
   std::vector<log_entry>  entries;
+  int32_t quorum_age_ms;
 
   void __set_term(const int64_t val);
 
@@ -2167,6 +2175,8 @@
 
   void __set_entries(const std::vector<log_entry> & val);
 
+  void __set_quorum_age_ms(const int32_t val);
+
   bool operator == (const append_request & rhs) const
   {
     if (!(term == rhs.term))
@@ -2183,6 +2193,8 @@
       return false;
     if (!(entries == rhs.entries))
       return false;
+    if (!(quorum_age_ms == rhs.quorum_age_ms))
+      return false;
     return true;
   }
   bool operator != (const append_request &rhs) const {
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -3616,6 +3616,7 @@
   bool isset_term = false;
   bool isset_voter = false;
   bool isset_granted = false;
+  bool isset_candidate = false;
 
   while (true)
   {
@@ -3657,6 +3658,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->candidate);
+          isset_candidate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3674,6 +3683,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_granted)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_candidate)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3699,6 +3710,10 @@
   xfer += oprot->writeBool(this->granted);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("candidate", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->candidate);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3724,6 +3739,7 @@
   bool isset_commit = false;
   bool isset_round = false;
   bool isset_entries = false;
+  bool isset_quorum_age_ms = false;
 
   while (true)
   {
@@ -3801,6 +3817,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->quorum_age_ms);
+          isset_quorum_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3824,6 +3848,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_entries)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_quorum_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3869,6 +3895,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quorum_age_ms", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->quorum_age_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -262,6 +262,7 @@
   2: required i64 term
   3: required i64 voter         // folder id
   4: required bool granted
+  5: required i64 candidate     // folder id that is answered; an emptied disk keeps its address but not its id
 }
 
 struct append_request {
@@ -272,6 +273,7 @@
   5: required i64 commit
   6: required i64 round         // heartbeat round, for the leader's lease and quorum reads
   7: required list<log_entry> entries
+  8: required i32 quorum_age_ms // since the start of the leader's last round that a quorum acknowledged
 }
 
 struct append_reply {
--- /dev/null
+++ b/src/testing/fake_disk.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "peridotcleat/replica.h"
+
+namespace peridotcleat::testing {
+
+/// The disk of one replica in memory. It outlives the replica's process and fails on command.
+class fake_disk_content {
+public:
+    fake_disk_content(cluster_id cluster, std::string node, std::uint64_t seed) : random_(seed)
+    {
+        durable_.identity = {cluster, std::move(node), folder_id{}};
+        empty();
+    }
+
+    /// Replaces the disk by an empty one, with a new folder id.
+    void empty()
+    {
+        const folder_identity old = durable_.identity;
+        durable_ = {};
+        durable_.identity = {old.cluster, old.node,
+                             folder_id{static_cast<std::int64_t>(random_() >> 2U) | 1}};
+        current_ = durable_;
+        pending_.clear();
+        broken_ = corrupt_ = false;
+    }
+    /// Ends the process: a random number of the unsynced writes survive; a torn record counts as absent.
+    void crash()
+    {
+        const std::size_t kept = random_() % (pending_.size() + 1);
+        for (std::size_t i = 0; i < kept; ++i) {
+            apply(durable_, pending_[i]);
+        }
+        forget_pending();
+    }
+    /// Ends the process and loses all unsynced writes.
+    void lose_unsynced() { forget_pending(); }
+    /// Flips a byte in the middle of the log.
+    void flip_byte() { corrupt_ = true; }
+    void fail_next_sync() { fail_sync_ = true; }
+    void fail_next_write() { fail_write_ = true; }
+    /// The next sync takes this long; the host has to let the time pass.
+    void delay_next_sync(std::chrono::milliseconds d) { delay_ = d; }
+    [[nodiscard]] std::chrono::milliseconds take_delay()
+    {
+        return std::exchange(delay_, std::chrono::milliseconds(0));
+    }
+
+    [[nodiscard]] const stored_state& durable() const noexcept { return durable_; }
+    /// What the process has written, synced or not.
+    [[nodiscard]] const stored_state& current() const noexcept { return current_; }
+    [[nodiscard]] std::int64_t folder() const noexcept { return durable_.identity.folder.value; }
+    [[nodiscard]] bool corrupt() const noexcept { return corrupt_; }
+    [[nodiscard]] bool has_unsynced() const noexcept { return !pending_.empty(); }
+
+    result<success> write(pvt::staged_write w)
+    {
+        if (broken_ || std::exchange(fail_write_, false)) {
+            broken_ = true;
+            return error{error_code::write_failed, "write failed on purpose"};
+        }
+        apply(current_, w);
+        pending_.push_back(std::move(w));
+        return success{};
+    }
+    result<success> sync()
+    {
+        if (broken_ || std::exchange(fail_sync_, false)) {
+            broken_ = true;
+            return error{error_code::sync_failed, "sync failed on purpose"};
+        }
+        for (const auto& w : pending_) {
+            apply(durable_, w);
+        }
+        pending_.clear();
+        return success{};
+    }
+    [[nodiscard]] result<stored_state> load() const
+    {
+        if (corrupt_) {
+            return error{error_code::log_corrupt, "byte flipped on purpose"};
+        }
+        return durable_;
+    }
+
+private:
+    void forget_pending()
+    {
+        pending_.clear();
+        current_ = durable_;
+        broken_ = fail_sync_ = fail_write_ = false;
+        delay_ = std::chrono::milliseconds(0);
+    }
+
+    static void apply(stored_state& s, const pvt::staged_write& w)
+    {
+        if (const auto* hard = std::get_if<hard_state>(&w)) {
+            s.hard = *hard;
+        } else if (const auto* entries = std::get_if<std::vector<wire::log_entry>>(&w)) {
+            s.entries.insert(s.entries.end(), entries->begin(), entries->end());
+        } else if (const auto* cut = std::get_if<pvt::truncation>(&w)) {
+            std::erase_if(s.entries, [&](const auto& e) { return e.index >= cut->from; });
+        } else {
+            const auto& snapshot = std::get<stored_snapshot>(w);
+            const bool agrees = std::any_of(s.entries.begin(), s.entries.end(), [&](const auto& e) {
+                return e.index == snapshot.index && e.term == snapshot.term;
+            });
+            std::erase_if(s.entries, [&](const auto& e) { return !agrees || e.index <= snapshot.index; });
+            s.snapshot = snapshot;
+        }
+    }
+
+    std::mt19937_64 random_;
+    stored_state durable_;
+    stored_state current_;
+    std::vector<pvt::staged_write> pending_;
+    std::chrono::milliseconds delay_{0};
+    bool fail_sync_ = false;
+    bool fail_write_ = false;
+    bool broken_ = false;
+    bool corrupt_ = false;
+};
+
+/// Storage of a replica on a `fake_disk_content`.
+class fake_disk {
+public:
+    explicit fake_disk(std::shared_ptr<fake_disk_content> content) : content_(std::move(content)) {}
+
+    result<stored_state> load() { return content_->load(); }
+    result<success> write_hard_state(const hard_state& hard) { return content_->write(hard); }
+    result<success> append(const std::vector<wire::log_entry>& entries) { return content_->write(entries); }
+    result<success> truncate_from(std::int64_t index) { return content_->write(pvt::truncation{index}); }
+    result<success> write_snapshot(const stored_snapshot& snapshot) { return content_->write(snapshot); }
+    result<success> sync() { return content_->sync(); }
+
+private:
+    std::shared_ptr<fake_disk_content> content_;
+};
+
+}  // namespace peridotcleat::testing
--- /dev/null
+++ b/src/testing/replica_group.h
@@ -0,0 +1,291 @@
+#pragma once
+
+#include <cstdlib>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "peridotcleat/hash.h"
+#include "testing/fake_network.h"
+#include "testing/replica_checker.h"
+
+namespace peridotcleat::testing {
+
+/// A group of replicas on a fake network and fake disks, with a host that keeps a digest as its state. Every
+/// event of a replica is checked.
+class replica_group {
+public:
+    struct host {
+        std::string name;
+        endpoint at;
+        std::shared_ptr<fake_disk_content> disk;
+        std::optional<replica<fake_disk>> process;
+        std::uint64_t starts = 0;
+        // State machine: index and digest of what was applied.
+        std::int64_t applied = 0;
+        std::uint64_t digest = 0;
+        std::int64_t checked_commit = 0;
+        std::optional<read_ticket> ticket;
+        std::int64_t committed_at_read = 0;
+    };
+
+    replica_group(std::uint64_t seed, std::size_t size) : net(seed)
+    {
+        net.set_tick_period(std::chrono::milliseconds(40));
+        for (std::size_t i = 0; i < size; ++i) {
+            add_host(net.random()());
+        }
+        for (host& h : hosts) {
+            start(h);
+        }
+    }
+    replica_group(const replica_group&) = delete;
+    replica_group& operator=(const replica_group&) = delete;
+
+    host& add_host(std::uint64_t seed)
+    {
+        const auto i = static_cast<std::uint16_t>(hosts.size());
+        const std::string name = "control-" + std::to_string(i);
+        const endpoint at{0x7f000001U, static_cast<std::uint16_t>(9000 + i)};
+        host& h = hosts.emplace_back();
+        h.name = name;
+        h.at = at;
+        h.disk = std::make_shared<fake_disk_content>(cluster_id{1}, name, seed);
+        wire::member m;
+        m.name = name;
+        m.address = to_wire(at);
+        founders.push_back(m);
+        return h;
+    }
+
+    /// Starts the process of `h`. An unreadable disk is replaced by an empty one.
+    void start(host& h)
+    {
+        if (h.process) {
+            return;
+        }
+        if (h.disk->corrupt()) {
+            empty_disk(h);
+        }
+        checker.on_open(h.disk->durable());
+        replica_settings s;
+        s.name = h.name;
+        s.address = h.at;
+        for (const auto& m : founders) {
+            s.peers.push_back(from_wire(m.address));
+        }
+        s.bootstrap = true;
+        s.first_members = founders;
+        s.seed = net.random()();
+        ++h.starts;
+        auto opened = replica<fake_disk>::open(s, fake_disk(h.disk), net.now());
+        replica_checker::require(has_value(opened), "a sound folder does not open", h.disk->folder());
+        h.process.emplace(value(std::move(opened)));
+        h.applied = h.checked_commit = 0;
+        h.digest = 0;
+        h.ticket.reset();
+        const std::size_t index = static_cast<std::size_t>(&h - hosts.data());
+        net.add(
+            h.at,
+            [this, index](time_point now, const endpoint& from, const message& m, outbox& out) {
+                host& self = hosts[index];
+                if (const auto* vote = std::get_if<wire::vote_reply>(&m);
+                    vote != nullptr && vote->candidate == self.disk->folder()) {
+                    checker.on_vote(*vote);
+                }
+                self.process->on_message(now, from, m, out);
+                // Half of the messages wait for a later flush, so that batches form.
+                after_event(self, now, out, (net.random()() & 1U) != 0);
+            },
+            [this, index](time_point now, outbox& out) {
+                hosts[index].process->on_tick(now, out);
+                after_event(hosts[index], now, out, true);
+            });
+    }
+
+    /// Kills the process of `h`; `keep` decides whether some of the unsynced writes may survive.
+    void kill(host& h, bool keep)
+    {
+        net.remove(h.at);
+        h.process.reset();
+        keep ? h.disk->crash() : h.disk->lose_unsynced();
+    }
+
+    void empty_disk(host& h)
+    {
+        checker.on_emptied(h.disk->folder());
+        h.disk->empty();
+    }
+
+    /// Returns the leader that holds a valid lease, or null.
+    host* leader()
+    {
+        for (host& h : hosts) {
+            if (h.process && h.process->lease_valid(net.now())) {
+                return &h;
+            }
+        }
+        return nullptr;
+    }
+
+    /// Proposes `data` at `h` and returns the place, if it was accepted.
+    std::optional<log_position> propose(host& h, std::string data)
+    {
+        const auto place = h.process->propose(net.now(), std::move(data));
+        if (!has_value(place)) {
+            return std::nullopt;
+        }
+        replica_checker::require(h.process->lease_valid(net.now()), "accepted without a lease", 0);
+        return value(place);
+    }
+
+    /// Returns true if the disk of `h` may be lost while the group can still recover: a leader's list is
+    /// committed, and without `h` the intact voters in it are a majority.
+    bool may_lose(const host& h)
+    {
+        host* l = leader();
+        if (l == nullptr || l->process->commit_index() == 0) {
+            return false;
+        }
+        std::size_t voters = 0;
+        std::size_t intact = 0;
+        for (const wire::member& m : l->process->members()) {
+            voters += m.voter ? 1 : 0;
+            const fake_disk_content* disk = find(m.folder_id);
+            intact += m.voter && disk != nullptr && !disk->corrupt() && disk != h.disk.get() ? 1 : 0;
+        }
+        return intact * 2 > voters && list_is_committed(*l);
+    }
+
+    const fake_disk_content* find(std::int64_t folder) const
+    {
+        for (const host& h : hosts) {
+            if (h.disk->folder() == folder) {
+                return h.disk.get();
+            }
+        }
+        return nullptr;
+    }
+
+    fake_network net;
+    replica_checker checker;
+    std::vector<host> hosts;
+    std::vector<wire::member> founders;
+    std::size_t snapshot_every = 40;
+    std::size_t snapshot_padding = 3000;
+    std::uint64_t reads_confirmed = 0;
+
+private:
+    static std::uint64_t next_digest(std::uint64_t digest, const wire::log_entry& e)
+    {
+        return combine(digest, combine(static_cast<std::uint64_t>(e.index), hash_bytes(e.data)));
+    }
+
+    bool list_is_committed(const host& l) const
+    {
+        const auto& entries = l.disk->current().entries;
+        return std::none_of(entries.begin(), entries.end(), [&](const wire::log_entry& e) {
+            return e.kind == pvt::kind_members && e.index > l.process->commit_index();
+        });
+    }
+
+    void after_event(host& h, time_point now, outbox& out, bool flush)
+    {
+        replica<fake_disk>& r = *h.process;
+        if (flush) {
+            flush_and_wait(h, now, out);
+        }
+        checker.on_term(h.disk->folder(), h.disk->durable().hard.term);
+        if (r.is_leader()) {
+            checker.on_leader(r.term(), h.disk->current(), r.members());
+            if (r.commit_index() > h.checked_commit && h.checked_commit > 0) {
+                checker.on_leader_commit(r.commit_index(), r.term(), r.members(),
+                                         [&](std::int64_t folder) { return find(folder); });
+            }
+        }
+        h.checked_commit = std::max(h.checked_commit, r.commit_index());
+        apply(h);
+        read(h, now);
+        int accepting = 0;
+        for (const host& other : hosts) {
+            accepting += other.process && other.process->lease_valid(now) ? 1 : 0;
+        }
+        replica_checker::on_accepting(accepting);
+    }
+
+    void flush_and_wait(host& h, time_point now, outbox& out)
+    {
+        (void)h.process->flush(now, out);
+        const auto delay = h.disk->take_delay();
+        if (delay.count() == 0) {
+            return;
+        }
+        net.freeze(h.at, now + delay);
+        net.at(now + delay, [this, from = h.at, sends = std::move(out.sends)] {
+            for (const send_action& s : sends) {
+                net.send(from, s.to, s.body);
+            }
+        });
+        out.sends.clear();
+    }
+
+    void apply(host& h)
+    {
+        if (const auto s = h.process->take_installed_snapshot()) {
+            const auto separator = s->state.find(':');
+            h.applied = s->index;
+            h.digest = std::stoull(s->state.substr(0, separator));
+            replica_checker::require(h.digest == digest_at(s->index), "snapshot of another history",
+                                     s->index);
+        }
+        for (const wire::log_entry& e : h.process->take_committed()) {
+            checker.on_committed(h.disk->folder(), h.applied, e);
+            h.applied = e.index;
+            h.digest = next_digest(h.digest, e);
+        }
+        const auto& s = h.disk->current().snapshot;
+        if (h.applied - (s ? s->index : 0) >= static_cast<std::int64_t>(snapshot_every)) {
+            (void)h.process->compact(h.applied,
+                                     std::to_string(h.digest) + ":" + std::string(snapshot_padding, 'x'));
+        }
+    }
+
+    std::uint64_t digest_at(std::int64_t index)
+    {
+        while (static_cast<std::int64_t>(digests_.size()) <= index) {
+            const auto it = checker.committed().find(static_cast<std::int64_t>(digests_.size()));
+            replica_checker::require(it != checker.committed().end(), "snapshot of uncommitted entries",
+                                     index);
+            digests_.push_back(next_digest(digests_.back(), it->second));
+        }
+        return digests_[static_cast<std::size_t>(index)];
+    }
+
+    // Keeps one linearizable read in progress at each leader.
+    void read(host& h, time_point now)
+    {
+        if (!h.ticket) {
+            const auto ticket = h.process->begin_read(now);
+            if (has_value(ticket)) {
+                h.ticket = value(ticket);
+                h.committed_at_read = checker.last_committed();
+            }
+            return;
+        }
+        const auto ready = h.process->read_ready(*h.ticket);
+        if (!has_value(ready)) {
+            h.ticket.reset();
+        } else if (value(ready)) {
+            replica_checker::require(h.applied >= h.committed_at_read, "a read misses a committed entry",
+                                     h.committed_at_read);
+            ++reads_confirmed;
+            h.ticket.reset();
+        }
+    }
+
+    std::vector<std::uint64_t> digests_{0};
+};
+
+}  // namespace peridotcleat::testing
