--- /dev/null
+++ b/src/include/peridotcleat/file_storage.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "peridotcleat/replica.h"
+
+namespace peridotcleat {
+
+namespace pvt {
+
+/// An open file that is closed on destruction.
+class file_handle {
+public:
+    explicit file_handle(int descriptor = -1) noexcept : descriptor_(descriptor) {}
+    file_handle(file_handle&& other) noexcept : descriptor_(std::exchange(other.descriptor_, -1)) {}
+    file_handle& operator=(file_handle&& other) noexcept
+    {
+        std::swap(descriptor_, other.descriptor_);
+        return *this;
+    }
+    file_handle(const file_handle&) = delete;
+    file_handle& operator=(const file_handle&) = delete;
+    ~file_handle();
+
+    [[nodiscard]] int get() const noexcept { return descriptor_; }
+    [[nodiscard]] bool is_open() const noexcept { return descriptor_ >= 0; }
+
+private:
+    int descriptor_;
+};
+
+}  // namespace pvt
+
+/// Storage of a replica in one folder, which is locked while it is open.
+///
+/// Files: `identity`, `log` (records with a checksum, appended) and `snapshot` (replaced by rename). A record
+/// at the end of the log that a crash left incomplete is cut off; any other damage is an error, because an
+/// acknowledged record may be affected. Not thread-safe.
+class file_storage {
+public:
+    /// Opens or creates `folder` for the process `node` of `cluster`. An empty folder gets a new random
+    /// folder id. Fails with `folder_not_writable` (also if another process has the folder open),
+    /// `folder_of_other_cluster`, `folder_of_other_node` or `log_corrupt`.
+    static result<file_storage> open(const std::string& folder, cluster_id cluster, const std::string& node);
+
+    /// Reads everything and cuts off a torn tail. Fails with `log_corrupt`, `snapshot_corrupt`,
+    /// `write_failed` or `sync_failed`.
+    result<stored_state> load();
+    /// Collects one write for the next `sync`. Fails only after an earlier failure.
+    result<success> write_hard_state(const hard_state& hard);
+    result<success> append(const std::vector<wire::log_entry>& entries);
+    result<success> truncate_from(std::int64_t index);
+    /// Writes what was collected, then the snapshot, and rewrites the log without the entries that it covers.
+    /// Durable on return. Fails with `write_failed` or `sync_failed`.
+    result<success> write_snapshot(const stored_snapshot& snapshot);
+    /// Makes everything durable. Fails with `write_failed` or `sync_failed`, then for ever.
+    result<success> sync();
+
+private:
+    explicit file_storage(std::string folder) : folder_(std::move(folder)) {}
+
+    [[nodiscard]] std::string path(const char* name) const { return folder_ + "/" + name; }
+    result<success> lock();
+    result<success> open_identity(cluster_id cluster, const std::string& node);
+    result<success> open_log();
+    result<success> flush_buffer();
+    result<success> replace(const char* name, std::string_view content);
+    result<success> read_log(stored_state& out);
+    result<success> rewrite_log(const stored_state& state);
+    result<success> fail(error e);
+
+    std::string folder_;
+    folder_identity identity_;
+    pvt::file_handle lock_;
+    pvt::file_handle log_;
+    // Records that wait for the next sync.
+    std::string buffer_;
+    std::optional<error> failed_;
+};
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/version/file_storage_test.cpp
@@ -0,0 +1,254 @@
+#include "peridotcleat/file_storage.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <string>
+
+#include "testing/fake_disk.h"
+
+namespace peridotcleat {
+namespace {
+
+constexpr cluster_id test_cluster{7};
+
+// A folder that is removed at the end of the test.
+class temporary_folder {
+public:
+    temporary_folder()
+        : path_(std::filesystem::temp_directory_path() /
+                ("peridotcleat-" + std::to_string(::getpid()) + "-" + std::to_string(++count)))
+    {
+        std::filesystem::remove_all(path_);
+    }
+    temporary_folder(const temporary_folder&) = delete;
+    temporary_folder& operator=(const temporary_folder&) = delete;
+    ~temporary_folder() { std::filesystem::remove_all(path_); }
+
+    [[nodiscard]] std::string path(const std::string& file = {}) const
+    {
+        return file.empty() ? path_.string() : (path_ / file).string();
+    }
+    [[nodiscard]] std::string read(const std::string& file) const
+    {
+        std::ifstream in(path(file), std::ios::binary);
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
+    void write(const std::string& file, const std::string& content) const
+    {
+        std::ofstream(path(file), std::ios::binary | std::ios::trunc) << content;
+    }
+
+private:
+    static inline int count = 0;
+    std::filesystem::path path_;
+};
+
+std::vector<wire::log_entry> some_entries(std::int64_t first, std::int64_t term, const std::string& data)
+{
+    std::vector<wire::log_entry> out(1 + data.size() % 3);
+    for (wire::log_entry& e : out) {
+        e.index = first++;
+        e.term = term;
+        e.kind = 1;
+        e.data = data;
+    }
+    return out;
+}
+
+bool equal(const stored_state& a, const stored_state& b)
+{
+    const bool same_snapshot =
+        a.snapshot.has_value() == b.snapshot.has_value() &&
+        (!a.snapshot ||
+         (a.snapshot->index == b.snapshot->index && a.snapshot->term == b.snapshot->term &&
+          a.snapshot->members == b.snapshot->members && a.snapshot->state == b.snapshot->state));
+    return same_snapshot && a.hard.term == b.hard.term && a.hard.voted_for == b.hard.voted_for &&
+           a.entries == b.entries;
+}
+
+// The writes that a replica makes, in a legal order, to a file storage and to a model of it.
+class writer {
+public:
+    explicit writer(const temporary_folder& folder) : folder_(folder) { reopen(); }
+
+    void reopen()
+    {
+        storage_.reset();
+        auto opened = file_storage::open(folder_.path(), test_cluster, "a");
+        RC_ASSERT(has_value(opened));
+        storage_.emplace(value(std::move(opened)));
+        loaded_ = storage_->load();
+    }
+    void close() { storage_.reset(); }
+
+    void write_at_random()
+    {
+        switch (*rc::gen::inRange(0, 6)) {
+        case 0: {
+            ++term_;
+            const hard_state hard{term_, folder_id{*rc::gen::inRange<std::int64_t>(0, 5)}};
+            add(storage_->write_hard_state(hard), hard);
+            break;
+        }
+        case 1: {
+            if (last() > base()) {
+                const auto from = *rc::gen::inRange(base() + 1, last() + 1);
+                add(storage_->truncate_from(from), pvt::truncation{from});
+            }
+            break;
+        }
+        case 2: {
+            const stored_snapshot s{base() + *rc::gen::inRange<std::int64_t>(1, 8),
+                                    term_,
+                                    {},
+                                    *rc::gen::arbitrary<std::string>()};
+            add(storage_->write_snapshot(s), s);
+            break;
+        }
+        default: {
+            const auto entries = some_entries(last() + 1, term_, *rc::gen::arbitrary<std::string>());
+            add(storage_->append(entries), entries);
+        }
+        }
+    }
+    void sync()
+    {
+        RC_ASSERT(has_value(storage_->sync()));
+        RC_ASSERT(has_value(model_.sync()));
+    }
+
+    [[nodiscard]] const result<stored_state>& loaded() const { return loaded_; }
+    [[nodiscard]] const stored_state& expected() const { return model_.durable(); }
+
+private:
+    void add(const result<success>& written, pvt::staged_write w)
+    {
+        RC_ASSERT(has_value(written));
+        (void)model_.write(std::move(w));
+    }
+    [[nodiscard]] std::int64_t base() const
+    {
+        return model_.current().snapshot ? model_.current().snapshot->index : 0;
+    }
+    [[nodiscard]] std::int64_t last() const
+    {
+        return base() + static_cast<std::int64_t>(model_.current().entries.size());
+    }
+
+    const temporary_folder& folder_;
+    testing::fake_disk_content model_{test_cluster, "a", 1};
+    std::optional<file_storage> storage_;
+    result<stored_state> loaded_;
+    std::int64_t term_ = 1;
+};
+
+// Guards against a write that is lost or brought back by a restart, and against a fake disk that behaves
+// unlike the real one.
+RC_GTEST_PROP(file_storage, reopening_gives_what_was_synced, ())
+{
+    const temporary_folder folder;
+    writer w(folder);
+    const int writes = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < writes; ++i) {
+        w.write_at_random();
+        if (*rc::gen::inRange(0, 4) == 0) {
+            w.sync();
+            w.reopen();
+        }
+    }
+    w.sync();
+    w.reopen();
+    RC_ASSERT(has_value(w.loaded()));
+    RC_ASSERT(equal(value(w.loaded()), w.expected()));
+}
+
+// Guards against a damaged record that passes for a sound or a torn one: an acknowledged entry would vanish.
+RC_GTEST_PROP(file_storage, a_flipped_byte_is_reported, ())
+{
+    const temporary_folder folder;
+    writer w(folder);
+    for (int i = 0; i < 6; ++i) {
+        w.write_at_random();
+    }
+    w.sync();
+    w.close();
+    const std::string file = *rc::gen::element<std::string>("log", "snapshot", "identity");
+    std::string content = folder.read(file);
+    RC_PRE(!content.empty());
+    const auto at = *rc::gen::inRange<std::size_t>(0, content.size());
+    content[at] = static_cast<char>(content[at] ^ (1 << *rc::gen::inRange(0, 8)));
+    folder.write(file, content);
+    auto opened = file_storage::open(folder.path(), test_cluster, "a");
+    const auto loaded = has_value(opened) ? value(opened).load() : result<stored_state>(failure(opened));
+    RC_ASSERT(!has_value(loaded));
+    RC_ASSERT(failure(loaded).code ==
+              (file == "snapshot" ? error_code::snapshot_corrupt : error_code::log_corrupt));
+}
+
+// Guards against a crash during a write that makes the folder unreadable or affects earlier records.
+RC_GTEST_PROP(file_storage, a_torn_tail_is_cut_off, ())
+{
+    const temporary_folder folder;
+    auto opened = file_storage::open(folder.path(), test_cluster, "a");
+    RC_ASSERT(has_value(opened));
+    const auto first = some_entries(1, 1, *rc::gen::arbitrary<std::string>());
+    const auto more = some_entries(static_cast<std::int64_t>(first.size()) + 1, 1, std::string(1500, 'x'));
+    RC_ASSERT(has_value(value(opened).append(first)) && has_value(value(opened).sync()));
+    const std::size_t synced = folder.read("log").size();
+    RC_ASSERT(has_value(value(opened).append(more)) && has_value(value(opened).sync()));
+    opened = error{};
+    std::string content = folder.read("log");
+    const std::size_t size = content.size();
+    content.resize(*rc::gen::inRange(synced, size));
+    if (*rc::gen::arbitrary<bool>()) {
+        // Sectors that were never written show as zeros.
+        content.resize(content.size() / 512 * 512 >= synced ? content.size() / 512 * 512 : content.size());
+        content.resize(std::max(size, content.size() + 1024), '\0');
+    }
+    folder.write("log", content);
+    for (int i = 0; i < 2; ++i) {
+        auto again = file_storage::open(folder.path(), test_cluster, "a");
+        RC_ASSERT(has_value(again));
+        const auto loaded = value(again).load();
+        RC_ASSERT(has_value(loaded));
+        const auto& entries = value(loaded).entries;
+        RC_ASSERT(entries.size() >= first.size() && entries.size() <= first.size() + more.size());
+        RC_ASSERT(std::equal(first.begin(), first.end(), entries.begin()));
+    }
+}
+
+// Guards against a process that works on the data of another node, cluster or running process.
+TEST(file_storage, refuses_folders_of_others)
+{
+    const temporary_folder folder;
+    {
+        const auto first = file_storage::open(folder.path(), test_cluster, "a");
+        ASSERT_TRUE(has_value(first));
+        const auto second = file_storage::open(folder.path(), test_cluster, "a");
+        ASSERT_FALSE(has_value(second));
+        EXPECT_EQ(failure(second).code, error_code::folder_not_writable);
+    }
+    const auto other_node = file_storage::open(folder.path(), test_cluster, "b");
+    ASSERT_FALSE(has_value(other_node));
+    EXPECT_EQ(failure(other_node).code, error_code::folder_of_other_node);
+    const auto other_cluster = file_storage::open(folder.path(), cluster_id{8}, "a");
+    ASSERT_FALSE(has_value(other_cluster));
+    EXPECT_EQ(failure(other_cluster).code, error_code::folder_of_other_cluster);
+    const auto below_a_file = file_storage::open(folder.path("log/below"), test_cluster, "a");
+    ASSERT_FALSE(has_value(below_a_file));
+    EXPECT_EQ(failure(below_a_file).code, error_code::folder_not_writable);
+    // A log whose identity is gone must not come back under a new folder id.
+    std::filesystem::remove(folder.path("identity"));
+    const auto nameless = file_storage::open(folder.path(), test_cluster, "a");
+    ASSERT_FALSE(has_value(nameless));
+    EXPECT_EQ(failure(nameless).code, error_code::log_corrupt);
+}
+
+}  // namespace
+}  // namespace peridotcleat
