Let the request checker accept retries after a lost result

The trace shows that the upstream had lost the result, the target had told its caller so, and the idempotent request waited for a retry elsewhere, which is allowed.

--- a/src/testing/fake_upstream.h
+++ b/src/testing/fake_upstream.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "peridotcleat/hash.h"
 #include "peridotcleat/outbox.h"
 #include "testing/fake_network.h"
 #include "testing/request_checker.h"
@@ -68,9 +69,9 @@
     {
         const auto it = running_.find(name);
         if (it != running_.end() && net_->chance(0.5)) {
-            const result_handler done = it->second;
+            const running_job lost = it->second;
             running_.erase(it);
-            answer(name, error_code::outcome_unknown, {}, done);
+            lose(name, lost);
         }
     }
 
@@ -78,8 +79,8 @@
     void crash()
     {
         down_ = true;
-        for (const auto& [name, done] : running_) {
-            answer(name, error_code::outcome_unknown, {}, done);
+        for (const auto& [name, lost] : running_) {
+            lose(name, lost);
         }
         for (const job& j : queue_) {
             answer(j.call.name, error_code::outcome_unknown, {}, j.done);
@@ -94,6 +95,11 @@
     }
 
 private:
+    struct running_job {
+        request_key key;
+        std::uint64_t start = 0;
+        result_handler done;
+    };
     struct job {
         upstream_call call;
         incarnation at;
@@ -103,10 +109,12 @@
     void run(const job& j)
     {
         const request_key key = parse_request_body(j.call.body);
-        const std::size_t length = net_->random()() % (behaviour_.max_answer + 1);
+        // The same for each run of an idempotent request, so that any of its answers is the right one.
+        const std::size_t length = combine(key.caller, key.id) % (behaviour_.max_answer + 1);
         checker_->ran(key, j.at, length);
         ++applied_;
-        running_[j.call.name] = j.done;
+        const std::uint64_t start = ++starts_;
+        running_[j.call.name] = {key, start, j.done};
         const double part = static_cast<double>(net_->random()() >> 11U) * 0x1.0p-53;
         double us = static_cast<double>(behaviour_.service_time.count()) * 1000 *
                     (1 + behaviour_.spread * (2 * part - 1));
@@ -114,25 +122,35 @@
         const error_code code = net_->chance(behaviour_.fail)          ? error_code::upstream_failed
                                 : net_->chance(behaviour_.lose_result) ? error_code::outcome_unknown
                                                                        : error_code::ok;
-        const std::uint64_t start = ++starts_;
-        started_[j.call.name] = start;
-        net_->at(
-            net_->now() + std::chrono::microseconds(static_cast<std::int64_t>(us)),
-            [this, name = j.call.name, code, key, length, start] {
-                const auto it = running_.find(name);
-                if (it == running_.end() || started_[name] != start) {
-                    return;
-                }
-                const result_handler done = it->second;
-                running_.erase(it);
-                started_.erase(name);
-                done({name, code, code == error_code::ok ? expected_answer(key, length) : std::string()});
-                if (!queue_.empty()) {
-                    const job next = queue_.front();
-                    queue_.pop_front();
-                    run(next);
-                }
-            });
+        net_->at(net_->now() + std::chrono::microseconds(static_cast<std::int64_t>(us)),
+                 [this, name = j.call.name, code, length, start] { end(name, code, length, start); });
+    }
+
+    void end(const request_name& name, error_code code, std::size_t length, std::uint64_t start)
+    {
+        const auto it = running_.find(name);
+        if (it == running_.end() || it->second.start != start) {
+            return;
+        }
+        const running_job ended = it->second;
+        running_.erase(it);
+        if (code == error_code::outcome_unknown) {
+            lose(name, ended);
+        } else {
+            ended.done(
+                {name, code, code == error_code::ok ? expected_answer(ended.key, length) : std::string()});
+        }
+        if (!queue_.empty()) {
+            const job next = queue_.front();
+            queue_.pop_front();
+            run(next);
+        }
+    }
+
+    void lose(const request_name& name, const running_job& lost)
+    {
+        checker_->result_lost(lost.key);
+        answer(name, error_code::outcome_unknown, {}, lost.done);
     }
 
     void answer(const request_name& name, error_code code, std::string body, const result_handler& done)
@@ -149,8 +167,7 @@
     bool down_ = false;
     std::uint64_t starts_ = 0;
     std::uint64_t applied_ = 0;
-    std::map<request_name, result_handler> running_;
-    std::map<request_name, std::uint64_t> started_;
+    std::map<request_name, running_job> running_;
     std::deque<job> queue_;
 };
 
--- a/src/testing/request_checker.h
+++ b/src/testing/request_checker.h
@@ -59,6 +59,10 @@
         e.answer_length = answer_length;
     }
 
+    /// The upstream lost the result. Its target owes the caller nothing but "unknown", after which an
+    /// idempotent request may run elsewhere.
+    void result_lost(const request_key& key) { requests_[key].at = {}; }
+
     void finished(std::uint32_t caller, const finished_request& f)
     {
         const request_key key{caller, f.id};
