Add the HTTP adapter between agent and upstream

Each call has its own connection. On a reused one, a request that is lost because the upstream closes the idle connection cannot be told from one that ran, so that more outcomes would be unknown.

Calls that are cancelled or late before they are sent end with these codes, which request_table takes as proof of not run.

--- a/src/include/peridotcleat/outbox.h
+++ b/src/include/peridotcleat/outbox.h
@@ -47,8 +47,8 @@
 /// What became of an `upstream_call`.
 struct upstream_result {
     request_name name;
-    /// `ok`, `upstream_unreachable` and `shed_by_upstream` (proof that it did not run),
-    /// `upstream_failed` (ran and failed) or `outcome_unknown`.
+    /// `ok`, `upstream_unreachable`, `shed_by_upstream`, `cancelled` or `deadline_exceeded` (proof that it
+    /// did not run and will not), `upstream_failed` (ran and failed) or `outcome_unknown`.
     error_code code = error_code::ok;
     std::string body;
 };
--- a/src/libperidotcleat/request/request_table.cpp
+++ b/src/libperidotcleat/request/request_table.cpp
@@ -289,6 +289,8 @@
             }
             break;
         case error_code::upstream_unreachable:
+        case error_code::cancelled:
+        case error_code::deadline_exceeded:
         case error_code::shed_by_upstream: refuse(now, r.name, r.code, out); break;
         case error_code::upstream_failed:
             finish(now, r.name, *record, record_state::failed, r.code, {}, out);
--- /dev/null
+++ b/src/libperidotcleat/request/upstream_client.cpp
@@ -0,0 +1,327 @@
+#include "peridotcleat/upstream_client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/URI.h>
+
+#include <algorithm>
+#include <array>
+#include <condition_variable>
+#include <deque>
+#include <istream>
+#include <mutex>
+#include <optional>
+#include <ostream>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "peridotcleat/answer_parts.h"
+
+namespace peridotcleat {
+
+namespace {
+
+using Poco::Net::HTTPClientSession;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+using Poco::Net::StreamSocket;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// A cancellation is best effort; its connection must not hold a worker for long.
+constexpr milliseconds cancel_timeout{1000};
+
+Poco::Timespan to_timespan(milliseconds d) { return {d.count() / 1000, d.count() % 1000 * 1000}; }
+
+milliseconds until(steady_clock::time_point t)
+{
+    return std::chrono::duration_cast<milliseconds>(t - steady_clock::now());
+}
+
+error_code code_of(int status) noexcept
+{
+    if (status >= 200 && status < 300) {
+        return error_code::ok;
+    }
+    return status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE ? error_code::shed_by_upstream
+                                                            : error_code::upstream_failed;
+}
+
+// Reads the body up to `deadline`. Returns nothing if it is incomplete, of unknown length or too long.
+std::optional<std::string> read_body(std::istream& in, const HTTPResponse& response,
+                                     steady_clock::time_point deadline)
+{
+    if (response.getStatus() == HTTPResponse::HTTP_NO_CONTENT) {
+        return std::string();
+    }
+    if (!response.hasContentLength() || response.getContentLength64() > max_answer_bytes) {
+        return std::nullopt;
+    }
+    const auto length = static_cast<std::size_t>(response.getContentLength64());
+    std::string body;
+    std::array<char, 16384> buffer{};
+    while (body.size() < length && in && steady_clock::now() < deadline) {
+        in.read(buffer.data(), static_cast<std::streamsize>(std::min(buffer.size(), length - body.size())));
+        body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
+    }
+    return body.size() == length ? std::optional(std::move(body)) : std::nullopt;
+}
+
+}  // namespace
+
+struct upstream_client::impl {
+    struct job {
+        upstream_call call;
+        steady_clock::time_point deadline;
+    };
+
+    upstream_client_settings settings;
+    std::function<void()> wake_up;
+    // Guards all members below but the workers. It is not held during calls that block, nor in `wake_up`.
+    std::mutex mutex;
+    std::condition_variable work;
+    std::deque<job> calls;
+    std::deque<request_name> cancels;
+    std::vector<upstream_result> results;
+    // Connections that `stop` breaks.
+    std::set<StreamSocket> connections;
+    bool stopping = false;
+    std::vector<std::thread> workers;
+
+    impl(upstream_client_settings s, std::function<void()> f) : settings(std::move(s)), wake_up(std::move(f))
+    {
+        for (std::uint32_t i = 0; i < settings.slots + settings.extra_workers; ++i) {
+            workers.emplace_back([this] { run(); });
+        }
+    }
+
+    void run();
+    void stop();
+    void finish(upstream_result r);
+    upstream_result perform(const job& j);
+    upstream_result exchange(const job& j, StreamSocket& socket, const std::string& id);
+    void send_cancel(const request_name& name);
+    bool connect(StreamSocket& socket, milliseconds timeout);
+    void disconnect(const StreamSocket& socket);
+
+    [[nodiscard]] std::string id_of(const request_name& name) const
+    {
+        return settings.id_prefix + std::to_string(name.token.value) + '-' + std::to_string(name.sequence);
+    }
+};
+
+void upstream_client::impl::run()
+{
+    for (;;) {
+        std::unique_lock lock(mutex);
+        work.wait(lock, [this] { return stopping || !calls.empty() || !cancels.empty(); });
+        if (stopping) {
+            return;
+        }
+        if (!cancels.empty()) {
+            const request_name name = cancels.front();
+            cancels.pop_front();
+            lock.unlock();
+            send_cancel(name);
+            continue;
+        }
+        const job j = std::move(calls.front());
+        calls.pop_front();
+        lock.unlock();
+        finish(perform(j));
+    }
+}
+
+void upstream_client::impl::finish(upstream_result r)
+{
+    {
+        const std::scoped_lock lock(mutex);
+        results.push_back(std::move(r));
+    }
+    if (wake_up) {
+        wake_up();
+    }
+}
+
+bool upstream_client::impl::connect(StreamSocket& socket, milliseconds timeout)
+{
+    try {
+        const Poco::Net::SocketAddress address(to_string(settings.upstream));
+        socket.connect(address, to_timespan(std::max(timeout, milliseconds(1))));
+        socket.setNoDelay(true);
+    } catch (const Poco::Exception&) {
+        return false;
+    }
+    const std::scoped_lock lock(mutex);
+    if (stopping) {
+        return false;
+    }
+    connections.insert(socket);
+    return true;
+}
+
+void upstream_client::impl::disconnect(const StreamSocket& socket)
+{
+    const std::scoped_lock lock(mutex);
+    connections.erase(socket);
+}
+
+upstream_result upstream_client::impl::perform(const job& j)
+{
+    if (until(j.deadline).count() <= 0) {
+        return {j.call.name, error_code::deadline_exceeded, {}};
+    }
+    StreamSocket socket;
+    if (!connect(socket, std::min(settings.connect_timeout, until(j.deadline)))) {
+        return {j.call.name, error_code::upstream_unreachable, {}};
+    }
+    upstream_result r{j.call.name, error_code::outcome_unknown, {}};
+    try {
+        r = exchange(j, socket, id_of(j.call.name));
+    } catch (const std::exception&) {
+        // The upstream may have got the request.
+        r.code = error_code::outcome_unknown;
+    }
+    disconnect(socket);
+    return r;
+}
+
+upstream_result upstream_client::impl::exchange(const job& j, StreamSocket& socket, const std::string& id)
+{
+    const milliseconds left = std::max(until(j.deadline), milliseconds(1));
+    const auto give_up = j.deadline + settings.grace;
+    socket.setSendTimeout(to_timespan(left + settings.grace));
+    socket.setReceiveTimeout(to_timespan(left + settings.grace));
+    HTTPClientSession session(socket);
+    session.setTimeout(to_timespan(left + settings.grace));
+    HTTPRequest request(HTTPRequest::HTTP_POST, "/requests", HTTPRequest::HTTP_1_1);
+    request.setHost(to_string(settings.upstream));
+    request.setKeepAlive(false);
+    request.set("X-Request-Id", id);
+    request.set("X-Deadline-Ms", std::to_string(left.count()));
+    std::string method;
+    // A line break in the caller's method must not become another header.
+    Poco::URI::encode(j.call.method, " ", method);
+    request.set("X-Method", method);
+    request.set("X-Idempotent", j.call.idempotent ? "true" : "false");
+    request.setContentType("application/octet-stream");
+    request.setContentLength64(static_cast<Poco::Int64>(j.call.body.size()));
+    session.sendRequest(request) << j.call.body << std::flush;
+    HTTPResponse response;
+    std::istream& in = session.receiveResponse(response);
+    const error_code code = code_of(response.getStatus());
+    if (code != error_code::ok) {
+        return {j.call.name, code, {}};
+    }
+    auto body = read_body(in, response, give_up);
+    if (!body) {
+        return {j.call.name, error_code::outcome_unknown, {}};
+    }
+    return {j.call.name, error_code::ok, std::move(*body)};
+}
+
+void upstream_client::impl::send_cancel(const request_name& name)
+{
+    StreamSocket socket;
+    if (!connect(socket, cancel_timeout)) {
+        return;
+    }
+    try {
+        HTTPClientSession session(socket);
+        session.setTimeout(to_timespan(cancel_timeout));
+        HTTPRequest request(HTTPRequest::HTTP_DELETE, "/requests/" + id_of(name), HTTPRequest::HTTP_1_1);
+        request.setHost(to_string(settings.upstream));
+        request.setKeepAlive(false);
+        session.sendRequest(request);
+        HTTPResponse response;
+        session.receiveResponse(response);
+    } catch (const std::exception&) {
+        // Nothing depends on a cancellation; the result of the call tells what became of the request.
+        disconnect(socket);
+        return;
+    }
+    disconnect(socket);
+}
+
+void upstream_client::impl::stop()
+{
+    {
+        const std::scoped_lock lock(mutex);
+        stopping = true;
+        for (StreamSocket socket : connections) {
+            try {
+                socket.shutdown();
+            } catch (const std::exception&) {
+                // The upstream has closed it already.
+                continue;
+            }
+        }
+    }
+    work.notify_all();
+    for (std::thread& t : workers) {
+        t.join();
+    }
+    workers.clear();
+}
+
+upstream_client::upstream_client(std::unique_ptr<impl> i) : impl_(std::move(i)) {}
+
+upstream_client::~upstream_client() { stop(); }
+
+result<std::unique_ptr<upstream_client>> upstream_client::create(const upstream_client_settings& settings,
+                                                                 std::function<void()> wake_up)
+{
+    if (!settings.upstream.valid()) {
+        return error{error_code::invalid_setting,
+                     "upstream " + to_string(settings.upstream) + " is not an endpoint"};
+    }
+    if (settings.slots == 0) {
+        return error{error_code::invalid_setting, "slots 0 is not at least 1"};
+    }
+    return std::unique_ptr<upstream_client>(
+        new upstream_client(std::make_unique<impl>(settings, std::move(wake_up))));
+}
+
+void upstream_client::call(upstream_call c)
+{
+    const auto deadline = steady_clock::now() + c.remaining;
+    {
+        const std::scoped_lock lock(impl_->mutex);
+        impl_->calls.push_back({std::move(c), deadline});
+    }
+    impl_->work.notify_one();
+}
+
+void upstream_client::cancel(const upstream_cancel& c)
+{
+    {
+        const std::scoped_lock lock(impl_->mutex);
+        const auto it = std::find_if(impl_->calls.begin(), impl_->calls.end(),
+                                     [&](const impl::job& j) { return j.call.name == c.name; });
+        if (it == impl_->calls.end()) {
+            impl_->cancels.push_back(c.name);
+        } else {
+            impl_->calls.erase(it);
+            impl_->results.push_back({c.name, error_code::cancelled, {}});
+        }
+    }
+    impl_->work.notify_one();
+    if (impl_->wake_up) {
+        impl_->wake_up();
+    }
+}
+
+std::vector<upstream_result> upstream_client::take_results()
+{
+    const std::scoped_lock lock(impl_->mutex);
+    return std::exchange(impl_->results, {});
+}
+
+void upstream_client::stop() { impl_->stop(); }
+
+}  // namespace peridotcleat
