--- /dev/null
+++ b/src/libperidotcleat/connection/agent.cpp
@@ -0,0 +1,201 @@
+#include "peridotcleat/agent.h"
+
+#include <utility>
+
+namespace peridotcleat {
+
+namespace {
+
+// Within 5 s of draining no balancer sends new flows; twice that without control's confirmation is enough.
+constexpr std::chrono::seconds stop_without_confirmation{10};
+
+}  // namespace
+
+agent::agent(agent_settings settings, counters& counted, node_link link, flow_owner flows,
+             request_table requests)
+    : settings_(std::move(settings)), link_(std::move(link)), flows_(std::move(flows)),
+      requests_(std::move(requests))
+{
+    (void)counted;
+}
+
+result<agent> agent::create(agent_settings settings, counters& counted)
+{
+    auto link = node_link::create(settings.link, counted);
+    if (!has_value(link)) {
+        return failure(link);
+    }
+    flow_settings limits;
+    limits.address = settings.link.address;
+    limits.idle_timeout = settings.idle_timeout;
+    limits.handover_timeout = settings.handover_timeout;
+    auto flows = flow_owner::create(limits, counted);
+    if (!has_value(flows)) {
+        return failure(flows);
+    }
+    auto requests = request_table::create(settings.requests, counted);
+    if (!has_value(requests)) {
+        return failure(requests);
+    }
+    return agent(std::move(settings), counted, value(std::move(link)), value(std::move(flows)),
+                 value(std::move(requests)));
+}
+
+void agent::on_upstream_offer(time_point now, const target_offer& offer, outbox& out)
+{
+    flows_.set_connections(offer.connections);
+    link_.offer(offer);
+    follow_link(now, out);
+}
+
+void agent::on_upstream_draining(time_point now, outbox& out) { start_draining(now, out); }
+
+void agent::on_upstream_result(time_point now, const upstream_result& r, outbox& out)
+{
+    requests_.on_upstream_result(now, r, out);
+}
+
+result<success> agent::push(time_point now, flow_token token, std::string bytes, outbox& out)
+{
+    return requests_.push(now, token, std::move(bytes), out);
+}
+
+void agent::on_message(time_point now, const endpoint& from, const message& m, outbox& out)
+{
+    link_.on_message(now, from, m, out);
+    follow_link(now, out);
+    flows_.on_message(now, from, m, out);
+    pass_events(now, out);
+    if (flows_.newest_seen() > link_.table().current_revision()) {
+        link_.on_newer_revision(now, flows_.newest_seen(), out);
+    }
+}
+
+void agent::on_tick(time_point now, outbox& out)
+{
+    link_.on_tick(now, out);
+    follow_link(now, out);
+    flows_.on_tick(now, out);
+    pass_events(now, out);
+    requests_.on_tick(now, out);
+    report_empty(now);
+}
+
+void agent::begin_stop(time_point now, outbox& out)
+{
+    if (!stop_began_) {
+        stop_began_ = now;
+    }
+    start_draining(now, out);
+}
+
+void agent::start_draining(time_point now, outbox& out)
+{
+    if (draining_) {
+        return;
+    }
+    draining_ = true;
+    flows_.set_draining(true);
+    requests_.set_draining(true);
+    link_.set_state(node_state::draining);
+    follow_link(now, out);
+}
+
+void agent::follow_link(time_point now, outbox& out)
+{
+    bool changed = false;
+    const std::vector<service_id> touched = link_.take_touched(changed);
+    if (changed) {
+        routes_ = routes_ ? route_table::rebuild(*routes_, link_.table(), touched)
+                          : route_table::build(link_.table());
+    }
+    if (routes_ && (changed || link_.id() != served_)) {
+        apply_table(now, out);
+        pass_events(now, out);
+    }
+}
+
+void agent::apply_table(time_point now, outbox& out)
+{
+    const auto& targets = link_.table().targets();
+    const auto it = link_.ready() ? targets.find(link_.id()) : targets.end();
+    if (it == targets.end()) {
+        if (served_.valid() && !targets.contains(served_)) {
+            flows_.set_routes(now, routes_, service_, served_, out);
+            served_ = {};
+        }
+        return;
+    }
+    const wire::target& own = it->second;
+    if (served_ != link_.id()) {
+        if (served_.valid()) {
+            // The former incarnation is over; its flows end with it.
+            flows_.set_routes(now, routes_, service_, served_, out);
+            pass_events(now, out);
+        }
+        served_ = link_.id();
+        requests_.set_incarnation(served_);
+    }
+    service_ = {own.service_id};
+    apply_service(own);
+    flows_.set_routes(now, routes_, service_, served_, out);
+    if (own.draining) {
+        start_draining(now, out);
+    }
+}
+
+void agent::apply_service(const wire::target& target)
+{
+    flows_.set_connections(static_cast<std::uint32_t>(target.connections));
+    const auto& services = link_.table().services();
+    const auto it = services.find(service_);
+    if (it == services.end()) {
+        return;
+    }
+    const wire::service_entry& service = it->second;
+    flows_.set_idle_timeout(service.__isset.idle_timeout_ms
+                                ? std::chrono::milliseconds(service.idle_timeout_ms)
+                                : settings_.idle_timeout);
+    const bool only_owner = service.__isset.placement && service.placement == 1;
+    flows_.set_placement(only_owner ? placement{owner_only{}} : placement{two_candidates{}});
+}
+
+void agent::pass_events(time_point now, outbox& out)
+{
+    for (const flow_event& e : flows_.take_events()) {
+        switch (e.kind) {
+        case flow_event_kind::opened: requests_.on_flow_opened(now, e.key, e.token); break;
+        case flow_event_kind::closed: requests_.on_flow_closed(now, e.token, out); break;
+        case flow_event_kind::payload: requests_.on_payload(now, e.key, e.body, out); break;
+        }
+    }
+}
+
+void agent::report_empty(time_point now)
+{
+    empty_ = draining_ && flows_.flows() == 0 && flows_.waiting() == 0 && requests_.in_progress() == 0 &&
+             requests_.quiet(now);
+    if (empty_) {
+        link_.set_state(node_state::leaving);
+    }
+}
+
+bool agent::may_stop(time_point now) const
+{
+    return stop_began_ && empty_ &&
+           (!link_.id().valid() || link_.removed() || *stop_began_ + stop_without_confirmation <= now);
+}
+
+agent_status agent::status() const
+{
+    agent_status s;
+    s.id = served_;
+    s.flows = flows_.flows();
+    s.directory_entries = flows_.directory_entries();
+    s.requests_in_progress = requests_.in_progress();
+    s.draining = draining_;
+    s.empty = empty_;
+    return s;
+}
+
+}  // namespace peridotcleat
