--- /dev/null
+++ b/src/libperidotcleat/version/control_test.cpp
@@ -0,0 +1,95 @@
+#include "peridotcleat/control.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "testing/control_run.h"
+
+namespace peridotcleat {
+namespace {
+
+using std::chrono::seconds;
+using testing::cluster_shape;
+using testing::control_cluster;
+
+wire::patch add_service(const std::string& id, std::int64_t base, const std::string& name, std::size_t i)
+{
+    wire::patch_operation op;
+    op.kind = 1;
+    op.name = name;
+    wire::service_entry service;
+    service.name = name;
+    service.addresses.push_back(to_wire(endpoint{0x0a000000U + static_cast<std::uint32_t>(i) + 1, 80}));
+    op.__set_value(service);
+    wire::patch p;
+    p.patch_id = id;
+    p.base = base;
+    p.operations.push_back(op);
+    return p;
+}
+
+// Guards against a cluster of one control process that accepts nothing, or a change that does not reach
+// nodes.
+TEST(control, a_patch_reaches_all_nodes_of_a_single_control_process)
+{
+    cluster_shape shape;
+    shape.controls = 1;
+    control_cluster cluster(1, shape);
+    cluster.start_all();
+    cluster.net().run_for(seconds(6));
+    auto* leader = cluster.leader();
+    ASSERT_NE(leader, nullptr);
+    for (std::size_t i = 0; i < shape.services; ++i) {
+        const auto patch = add_service("p" + std::to_string(i), static_cast<std::int64_t>(i),
+                                       control_cluster::service_name(i), i);
+        leader->role->submit_patch(cluster.net().now(), cluster.wall(), patch);
+        cluster.net().run_for(seconds(1));
+        const auto answers = leader->role->take_answers();
+        ASSERT_EQ(answers.size(), 1U);
+        EXPECT_EQ(answers[0].patch.status, patch_status::accepted) << answers[0].patch.reason.message;
+    }
+    cluster.net().run_for(seconds(14));
+    for (const auto& n : cluster.nodes()) {
+        EXPECT_TRUE(n->link->ready()) << n->name;
+        EXPECT_EQ(n->link->table().current_revision(), leader->role->table().current_revision()) << n->name;
+        EXPECT_EQ(n->link->table().digest(), leader->role->table().digest()) << n->name;
+    }
+    const auto status = leader->role->status(cluster.net().now(), config_version{2});
+    EXPECT_TRUE(status.known);
+    EXPECT_TRUE(status.everywhere);
+    EXPECT_TRUE(status.unreachable.empty());
+}
+
+std::uint64_t from_environment(const char* name, std::uint64_t otherwise)
+{
+    // No other thread changes the environment.
+    const char* text = std::getenv(name);  // NOLINT(concurrency-mt-unsafe)
+    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+// Guards against accepted versions that are lost, changed or fall back, answers that turn out false, tables
+// that differ, and membership that does not settle, under all faults of the design's failure model.
+TEST(control, invariants_hold_under_faults)
+{
+    const std::uint64_t first = from_environment("PERIDOTCLEAT_FIRST_SEED", 1);
+    const std::uint64_t count = from_environment("PERIDOTCLEAT_SEEDS", 3);
+    std::size_t accepted = 0;
+    std::size_t faults = 0;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        testing::control_run run(seed);
+        try {
+            run.run();
+        } catch (const std::exception& e) {
+            ADD_FAILURE() << "seed " << seed << ": " << e.what();
+        }
+        accepted += run.checker().accepted();
+        faults += run.faults();
+    }
+    std::cout << "seeds=" << count << " accepted=" << accepted << " faults=" << faults << '\n';
+    EXPECT_GT(accepted, count);
+}
+
+}  // namespace
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/testing/control_cluster.h
@@ -0,0 +1,274 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "peridotcleat/control.h"
+#include "peridotcleat/node_link.h"
+#include "peridotcleat/relay.h"
+#include "testing/fake_disk.h"
+#include "testing/fake_network.h"
+
+namespace peridotcleat::testing {
+
+/// Size and shape of a cluster in one process. Processes are spread evenly over the zones.
+struct cluster_shape {
+    std::size_t controls = 3;
+    std::size_t balancers = 4;
+    std::size_t agents = 8;
+    std::size_t services = 2;
+    std::size_t zones = 2;
+    std::int64_t snapshot_after = 4096;
+    std::chrono::milliseconds tick{40};
+};
+
+/// A control process and its disk, which outlives restarts.
+struct control_host {
+    endpoint at;
+    std::string name;
+    std::shared_ptr<fake_disk_content> disk;
+    std::unique_ptr<control<fake_disk>> role;
+    counters counted;
+};
+
+/// A balancer (with a relay) or an agent (without).
+struct node_host {
+    endpoint at;
+    std::string name;
+    std::string zone;
+    node_role kind = node_role::balancer;
+    std::string service;
+    std::unique_ptr<node_link> link;
+    std::unique_ptr<relay> children;
+    counters counted;
+    /// Called after each event of the host.
+    std::function<void(node_host&)> observe;
+};
+
+/// Hosts control processes, balancers and agents on a fake network, and restarts them.
+class control_cluster {
+public:
+    control_cluster(std::uint64_t seed, cluster_shape shape) : shape_(shape), net_(seed), seeds_(seed)
+    {
+        net_.set_tick_period(shape.tick);
+        for (std::size_t i = 0; i < shape.controls; ++i) {
+            auto& c = *controls_.emplace_back(std::make_unique<control_host>());
+            c.at = address(0, i);
+            c.name = "control-" + std::to_string(i);
+            c.disk = std::make_shared<fake_disk_content>(cluster_id{1}, c.name, seeds_());
+        }
+        for (std::size_t i = 0; i < shape.balancers; ++i) {
+            add_node(address(1, i), "balancer-" + std::to_string(i), i, node_role::balancer);
+        }
+        for (std::size_t i = 0; i < shape.agents; ++i) {
+            auto& a = add_node(address(2, i), "agent-" + std::to_string(i), i, node_role::target);
+            a.service = service_name(i % shape.services);
+        }
+    }
+
+    static std::string service_name(std::size_t i) { return "service-" + std::to_string(i); }
+    static endpoint address(std::uint32_t group, std::size_t i)
+    {
+        return {0x7f000000U + (group << 16U) + static_cast<std::uint32_t>(i) + 1, 7000};
+    }
+    /// Zone of a process of any kind.
+    [[nodiscard]] std::size_t zone_of(const endpoint& at) const
+    {
+        return ((at.address & 0xffffU) - 1) % shape_.zones;
+    }
+
+    void start_control(std::size_t i, bool bootstrap)
+    {
+        control_host& c = *controls_[i];
+        control_settings s;
+        s.snapshot_after = shape_.snapshot_after;
+        s.replica.name = c.name;
+        s.replica.address = c.at;
+        s.replica.bootstrap = bootstrap;
+        s.replica.seed = seeds_();
+        for (const auto& other : controls_) {
+            s.replica.peers.push_back(other->at);
+            wire::member m;
+            m.name = other->name;
+            m.address = to_wire(other->at);
+            m.voter = true;
+            s.replica.first_members.push_back(m);
+        }
+        auto opened = control<fake_disk>::open(s, fake_disk(c.disk), net_.now(), c.counted);
+        if (!has_value(opened)) {
+            throw std::runtime_error(c.name + ": " + failure(opened).message);
+        }
+        c.role = std::make_unique<control<fake_disk>>(value(std::move(opened)));
+        net_.add(
+            c.at,
+            [this, &c](time_point now, const endpoint& from, const message& m, outbox& out) {
+                c.role->on_message(now, from, m, out);
+                settle(now, c, out);
+            },
+            [this, &c](time_point now, outbox& out) {
+                c.role->on_tick(now, wall(), out);
+                settle(now, c, out);
+            });
+    }
+
+    /// Ends a control process; what its disk has not synced may be lost.
+    void kill_control(std::size_t i)
+    {
+        net_.remove(controls_[i]->at);
+        controls_[i]->role.reset();
+        controls_[i]->disk->crash();
+    }
+    void start_node(node_host& n)
+    {
+        node_link_settings s;
+        s.role = n.kind;
+        s.name = n.name;
+        s.zone = n.zone;
+        s.address = n.at;
+        s.seed = seeds_();
+        if (n.kind == node_role::balancer) {
+            for (const auto& c : controls_) {
+                s.parents.push_back(c->at);
+            }
+            n.children = std::make_unique<relay>(n.counted);
+        } else {
+            for (const auto& b : nodes_) {
+                if (b->kind == node_role::balancer && b->zone == n.zone) {
+                    s.parents.push_back(b->at);
+                }
+            }
+        }
+        n.link = std::make_unique<node_link>(value(node_link::create(s, n.counted)));
+        if (n.kind == node_role::target) {
+            n.link->offer({n.service, 2, 2000});
+        }
+        net_.add(
+            n.at,
+            [this, &n](time_point now, const endpoint& from, const message& m, outbox& out) {
+                node_message(now, n, from, m, out);
+            },
+            [this, &n](time_point now, outbox& out) { node_tick(now, n, out); });
+    }
+    void kill_node(node_host& n)
+    {
+        net_.remove(n.at);
+        n.link.reset();
+        n.children.reset();
+    }
+
+    void start_all()
+    {
+        for (std::size_t i = 0; i < controls_.size(); ++i) {
+            start_control(i, true);
+        }
+        for (auto& n : nodes_) {
+            start_node(*n);
+        }
+    }
+
+    /// Runs the event handlers' follow-up of a control process; also needed after submitting to it.
+    void settle(time_point now, control_host& c, outbox& out)
+    {
+        (void)c.role->flush(now, out);
+        if (on_control_event) {
+            on_control_event(c);
+        }
+    }
+    /// As `settle`, from outside an event of the host.
+    void settle(control_host& c)
+    {
+        outbox out;
+        settle(net_.now(), c, out);
+        net_.dispatch(c.at, out);
+    }
+
+    /// Returns the control process that leads with a valid lease, if any.
+    control_host* leader()
+    {
+        for (auto& c : controls_) {
+            if (c->role && net_.is_alive(c->at) && c->role->leading() &&
+                c->role->log().lease_valid(net_.now())) {
+                return c.get();
+            }
+        }
+        return nullptr;
+    }
+
+    fake_network& net() noexcept { return net_; }
+    std::vector<std::unique_ptr<control_host>>& controls() noexcept { return controls_; }
+    std::vector<std::unique_ptr<node_host>>& nodes() noexcept { return nodes_; }
+    [[nodiscard]] const cluster_shape& shape() const noexcept { return shape_; }
+    /// Wall time that passes as the network's time does.
+    [[nodiscard]] wall_time wall() const
+    {
+        return wall_time(std::chrono::duration_cast<std::chrono::milliseconds>(net_.now().time_since_epoch() +
+                                                                               std::chrono::hours(24)));
+    }
+
+    /// Called after each event of a control process.
+    std::function<void(control_host&)> on_control_event;
+
+private:
+    node_host& add_node(const endpoint& at, std::string name, std::size_t i, node_role kind)
+    {
+        auto& n = *nodes_.emplace_back(std::make_unique<node_host>());
+        n.at = at;
+        n.name = std::move(name);
+        n.zone = "zone-" + std::to_string(i % shape_.zones);
+        n.kind = kind;
+        return n;
+    }
+
+    void node_message(time_point now, node_host& n, const endpoint& from, const message& m, outbox& out)
+    {
+        if (n.children) {
+            if (const auto* pull = std::get_if<wire::pull_request>(&m)) {
+                n.children->on_pull(now, from, *pull, n.link->table(), n.link->age(now), out);
+            } else if (const auto* request = std::get_if<wire::announce>(&m)) {
+                n.children->on_announce(now, *request, n.at, n.link->parent(), out);
+            } else if (const auto* answer = std::get_if<wire::announce_reply>(&m);
+                       answer != nullptr && answer->nonce != n.link->nonce()) {
+                n.children->on_announce_reply(now, *answer, out);
+            } else if (const auto* reply = std::get_if<wire::relay_report_reply>(&m)) {
+                n.children->on_report_reply(now, *reply);
+            }
+        }
+        n.link->on_message(now, from, m, out);
+        after_event(now, n, out);
+    }
+
+    void node_tick(time_point now, node_host& n, outbox& out)
+    {
+        n.link->on_tick(now, out);
+        if (n.children) {
+            n.children->on_tick(now, n.link->id(), n.link->nonce(), n.link->parent(), out);
+        }
+        after_event(now, n, out);
+    }
+
+    static void after_event(time_point now, node_host& n, outbox& out)
+    {
+        bool changed = false;
+        (void)n.link->take_touched(changed);
+        if (changed && n.children) {
+            n.children->on_table_changed(now, n.link->table(), out);
+        }
+        if (n.observe) {
+            n.observe(n);
+        }
+    }
+
+    cluster_shape shape_;
+    fake_network net_;
+    std::mt19937_64 seeds_;
+    std::vector<std::unique_ptr<control_host>> controls_;
+    std::vector<std::unique_ptr<node_host>> nodes_;
+};
+
+}  // namespace peridotcleat::testing
