Report version 0 as known and widen the faults of the control test

Version 0 is now in force by definition.

The test starts stopped processes again, kills or freezes the leader, and counts what it brought about.

--- a/src/include/peridotcleat/control.h
+++ b/src/include/peridotcleat/control.h
@@ -129,7 +129,10 @@
     {
         const auto record = table_.patches().find(version);
         in_force_status s;
-        if (record != table_.patches().end()) {
+        // Version 0 is the empty table, which nobody had to accept.
+        if (version == config_version{}) {
+            s = membership_.status(now, revision{}, table_, relay_);
+        } else if (record != table_.patches().end()) {
             s = membership_.status(now, revision{record->second.revision}, table_, relay_);
         }
         s.known = s.known && leading() && replica_.lease_valid(now);
--- a/src/libperidotcleat/version/control_test.cpp
+++ b/src/libperidotcleat/version/control_test.cpp
@@ -2,8 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 
 #include "testing/control_run.h"
 
@@ -77,6 +79,12 @@
     const std::uint64_t count = from_environment("PERIDOTCLEAT_SEEDS", 3);
     std::size_t accepted = 0;
     std::size_t faults = 0;
+    std::array<std::size_t, 6> answers{};
+    std::map<event, std::uint64_t> events{{event::elections_won, 0},     {event::snapshots_installed, 0},
+                                          {event::snapshots_written, 0}, {event::joins, 0},
+                                          {event::leases_expired, 0},    {event::parent_changes, 0},
+                                          {event::digest_mismatches, 0}, {event::full_tables_sent, 0},
+                                          {event::leader_step_downs, 0}};
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
         testing::control_run run(seed);
         try {
@@ -86,8 +94,21 @@
         }
         accepted += run.checker().accepted();
         faults += run.faults();
+        for (std::size_t i = 0; i < answers.size(); ++i) {
+            answers[i] += run.answers(static_cast<patch_status>(i));
+        }
+        for (auto& [e, sum] : events) {
+            sum += run.total(e);
+        }
+    }
+    std::cout << "seeds=" << count << " accepted=" << accepted << " faults=" << faults;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        std::cout << ' ' << to_string(static_cast<patch_status>(i)) << '=' << answers[i];
+    }
+    for (const auto& [e, sum] : events) {
+        std::cout << ' ' << to_string(e) << '=' << sum;
     }
-    std::cout << "seeds=" << count << " accepted=" << accepted << " faults=" << faults << '\n';
+    std::cout << '\n';
     EXPECT_GT(accepted, count);
 }
 
--- a/src/testing/control_run.h
+++ b/src/testing/control_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -35,7 +36,11 @@
     void run()
     {
         cluster_.start_all();
-        advance(seconds(8));
+        advance(seconds(5));
+        for (int step = 0; step < 15; ++step) {
+            advance(milliseconds(400));
+            act();
+        }
         for (int step = 0; step < 250; ++step) {
             advance(milliseconds(50 + pick(400)));
             act();
@@ -53,6 +58,20 @@
 
     [[nodiscard]] const control_checker& checker() const noexcept { return checker_; }
     [[nodiscard]] std::size_t faults() const noexcept { return faults_; }
+    /// Answers of each status, to show that a run brings all of them about.
+    [[nodiscard]] std::size_t answers(patch_status s) const { return answers_[static_cast<std::size_t>(s)]; }
+    /// Sum of a counter over all processes.
+    [[nodiscard]] std::uint64_t total(event e)
+    {
+        std::uint64_t sum = 0;
+        for (const auto& c : cluster_.controls()) {
+            sum += c->counted.get(e) + (c->role ? c->role->log().counts().get(e) : 0);
+        }
+        for (const auto& n : cluster_.nodes()) {
+            sum += n->counted.get(e);
+        }
+        return sum;
+    }
 
 private:
     using milliseconds = std::chrono::milliseconds;
@@ -115,6 +134,7 @@
     void take_answer(patch_operator& o, const patch_answer& a)
     {
         checker_.on_answer(cluster_.net().now(), *o.patch, a);
+        ++answers_[static_cast<std::size_t>(a.status)];
         o.waiting = {};
         const bool done = a.status != patch_status::outcome_unknown && a.status != patch_status::not_accepted;
         // Some operators ask again for what they know, as a script does that lost its notes.
@@ -196,7 +216,7 @@
         const std::size_t process = pick(cluster_.controls().size());
         switch (pick(12)) {
         case 0: stop_or_start_control(process); break;
-        case 1:
+        case 1: start_all_stopped(); break;
         case 2: stop_or_start(node); break;
         case 3: net.freeze(node.at, net.now() + milliseconds(pick(9000))); break;
         case 4: net.freeze(cluster_.controls()[process]->at, net.now() + milliseconds(pick(5000))); break;
@@ -211,8 +231,12 @@
             }
             break;
         default:
-            if (auto* leader = cluster_.leader(); leader != nullptr && chance(50)) {
-                stop_or_start_control(index_of(*leader));
+            if (auto* leader = cluster_.leader(); leader != nullptr) {
+                if (chance(50)) {
+                    stop_or_start_control(index_of(*leader));
+                } else {
+                    net.freeze(leader->at, net.now() + milliseconds(pick(8000)));
+                }
             }
         }
     }
@@ -293,23 +317,30 @@
         }
     }
 
-    void heal()
+    void start_all_stopped()
     {
-        cluster_.net().heal_all();
         for (std::size_t i = 0; i < cluster_.controls().size(); ++i) {
             if (!cluster_.controls()[i]->role) {
                 start_control(i);
             }
         }
+        for (auto& n : cluster_.nodes()) {
+            if (!n->link) {
+                cluster_.start_node(*n);
+            }
+        }
+    }
+
+    void heal()
+    {
+        cluster_.net().heal_all();
         for (auto& n : cluster_.nodes()) {
             // Nodes that were told to leave have done so.
             if (n->link && n->link->state() != node_state::active) {
                 cluster_.kill_node(*n);
             }
-            if (!n->link) {
-                cluster_.start_node(*n);
-            }
         }
+        start_all_stopped();
     }
 
     control_host& calm_leader()
@@ -406,6 +437,7 @@
     std::vector<std::uint64_t> generations_;
     std::size_t next_patch_ = 1;
     std::size_t faults_ = 0;
+    std::array<std::size_t, 6> answers_{};
     bool calm_ = false;
     ticket drain_ticket_;
     std::optional<patch_answer> drain_answer_;
