--- a/scripts/demo_job.py
+++ b/scripts/demo_job.py
@@ -79,7 +79,7 @@
     # ---- starting --------------------------------------------------------------------------------------
 
     def start_control(self, i):
-        peers = ",".join(f"127.0.1.{n + 1}:7000" for n in range(CONTROL_COUNT))
+        peers = ",".join(f"control-{n}=127.0.1.{n + 1}:7000" for n in range(CONTROL_COUNT))
         data = self.folder / f"control-{i}"
         data.mkdir(exist_ok=True)
         self.launch(f"control-{i}", "peridotcleat-control", "--name", f"control-{i}", "--zone", ZONES[i % 2],
--- /dev/null
+++ b/src/control/main.cpp
@@ -0,0 +1,161 @@
+// Daemon of the control role: binds it to an event loop, a data folder and the operators' HTTP interface.
+
+#include <algorithm>
+#include <cstdlib>
+#include <thread>
+
+#include "operator_api.h"
+#include "peridotcleat/control.h"
+#include "peridotcleat/daemon.h"
+#include "peridotcleat/file_storage.h"
+
+namespace {
+
+using namespace peridotcleat;
+using namespace std::chrono_literals;
+
+const std::string usage =
+    std::string(R"(Keeps the table of services and nodes, one of a group of three to seven.
+
+Usage:
+  peridotcleat-control [options]
+
+Options:
+  --data-folder=S     Folder for the log and snapshots; belongs to this process alone.
+  --peers=A           All control processes, this one included, as name=a.b.c.d:port separated by commas.
+  --bootstrap         Forms a new cluster if the data folders of all peers are new.
+  --snapshot-after=N  Log entries after which a snapshot is written [default: 4096].)") +
+    daemon_options;
+
+constexpr std::size_t max_peers = 7;
+
+// Reads `name=a.b.c.d:port,...`.
+std::vector<wire::member> read_peers(settings& s)
+{
+    std::vector<wire::member> peers;
+    const std::string text = s.text("--peers");
+    for (std::size_t begin = 0; begin < text.size();) {
+        const std::size_t end = std::min(text.find(',', begin), text.size());
+        const std::string one = text.substr(begin, end - begin);
+        const std::size_t equals = one.find('=');
+        const auto address = parse_endpoint(equals == std::string::npos ? "" : one.substr(equals + 1));
+        if (equals == 0 || !has_value(address)) {
+            s.reject(error_code::invalid_setting, "--peers", one, "name=a.b.c.d:port, separated by commas");
+        } else {
+            wire::member m;
+            m.name = one.substr(0, equals);
+            m.address = to_wire(value(address));
+            m.voter = true;
+            peers.push_back(m);
+        }
+        begin = end + 1;
+    }
+    return peers;
+}
+
+control_settings read_control(settings& s, const daemon_settings& d)
+{
+    control_settings c;
+    c.replica.name = d.name;
+    c.replica.address = d.listen;
+    c.replica.first_members = read_peers(s);
+    c.replica.bootstrap = s.flag("--bootstrap");
+    c.replica.seed = d.seed;
+    c.snapshot_after = s.integer("--snapshot-after", 16, 1000000);
+    bool listed = false;
+    for (const wire::member& m : c.replica.first_members) {
+        c.replica.peers.push_back(from_wire(m.address));
+        listed = listed || (m.name == d.name && from_wire(m.address) == d.listen);
+    }
+    if (!listed) {
+        s.reject(error_code::invalid_setting, "--peers", d.name + '=' + to_string(d.listen),
+                 "a list that contains this process");
+    }
+    if (c.replica.peers.size() > max_peers) {
+        s.reject(error_code::invalid_setting, "--peers",
+                 std::to_string(c.replica.peers.size()) + " processes", "1 to 7");
+    }
+    return c;
+}
+
+wall_time wall()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+int run(settings& s)
+{
+    const daemon_settings d = read_daemon_settings(s);
+    const control_settings c = read_control(s, d);
+    const std::string folder = s.text("--data-folder");
+    if (!s.report()) {
+        return 2;
+    }
+    if (d.check) {
+        return 0;
+    }
+    block_stop_signals();
+    start_logging(d.name, d.lowest);
+    counters counted;
+    auto storage = file_storage::open(folder, d.cluster, d.name);
+    if (!has_value(storage)) {
+        return report_failure(failure(storage));
+    }
+    using control_role = control<file_storage>;
+    auto role = control_role::open(c, value(std::move(storage)), event_loop::now(), counted);
+    if (!has_value(role)) {
+        return report_failure(failure(role));
+    }
+    control_role& r = value(role);
+    auto loop = event_loop::create(d.listen, d.cluster, counted);
+    if (!has_value(loop)) {
+        return report_failure(failure(loop));
+    }
+    operator_api<control_role> api(r, *value(loop), counted);
+    auto admin = admin_server::start(
+        d.admin, [&api](const admin_request& request) { return api.handle(request); }, 16);
+    if (!has_value(admin)) {
+        return report_failure(failure(admin));
+    }
+    int code = 0;
+    bool was_leading = false;
+    loop_handlers handlers;
+    handlers.on_message = [&](time_point now, const endpoint& from, const message& m, outbox& out) {
+        r.on_message(now, from, m, out);
+    };
+    handlers.on_tick = [&](time_point now, outbox& out) { r.on_tick(now, wall(), out); };
+    handlers.on_batch_end = [&](time_point now, outbox& out) {
+        if (const auto flushed = r.flush(now, out); !has_value(flushed)) {
+            // What failed to become durable must not be acknowledged: nothing of this batch is sent.
+            log_event(log_level::error, "storage_failed",
+                      {{"code", static_cast<std::int64_t>(failure(flushed).code)},
+                       {"reason", failure(flushed).message}});
+            out.clear();
+            code = report_failure(failure(flushed));
+            value(loop)->stop();
+        }
+        api.advance(now);
+        if (r.leading() != was_leading) {
+            was_leading = r.leading();
+            log_event(log_level::info, was_leading ? "leadership_started" : "leadership_ended",
+                      {{"term", r.log().term()}, {"version", r.table().version().value}});
+        }
+    };
+    log_event(log_level::info, "started", {{"listen", to_string(d.listen)}, {"folder", folder}});
+    std::thread signals([&] {
+        wait_for_stop_signal();
+        value(loop)->stop();
+    });
+    value(loop)->run(handlers);
+    if (code != 0) {
+        // The waiting thread has no other way to end.
+        std::quick_exit(code);  // NOLINT(concurrency-mt-unsafe)
+    }
+    signals.join();
+    log_event(log_level::info, "stopped");
+    return code;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) { return run_daemon(argc, argv, usage, "peridotcleat-control", run); }
