Extend the randomised test of the log and bound what is in flight

The trace shows the leader of term 2 completing its election with late votes after term 3 had committed: allowed, it can commit nothing. The checker now records the term of each commit and demands the entries of earlier or equal terms.

--- a/src/include/peridotcleat/replica.h
+++ b/src/include/peridotcleat/replica.h
@@ -52,13 +52,13 @@
 public:
     /// Opens the replica on what `storage` holds. A stored snapshot is given out by
     /// `take_installed_snapshot`. Fails as `Storage::load` does, or with `log_corrupt`.
-    static result<replica> open(replica_settings settings, Storage storage, time_point now)
+    static result<replica> open(const replica_settings& settings, Storage storage, time_point now)
     {
         auto stored = storage.load();
         if (!has_value(stored)) {
             return failure(stored);
         }
-        auto core = pvt::replica_core::open(std::move(settings), value(std::move(stored)), now);
+        auto core = pvt::replica_core::open(settings, value(std::move(stored)), now);
         if (!has_value(core)) {
             return failure(core);
         }
@@ -91,6 +91,7 @@
             if (const auto synced = storage_.sync(); !has_value(synced)) {
                 return core_.stop(failure(synced));
             }
+            core_.count_sync();
         }
         core_.on_synced(now, out);
         return success{};
--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -94,13 +94,14 @@
 /// All decisions of a replica; `replica` adds the storage.
 class replica_core {
 public:
-    static result<replica_core> open(replica_settings settings, stored_state stored, time_point now);
+    static result<replica_core> open(const replica_settings& settings, stored_state stored, time_point now);
 
     void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
     void on_tick(time_point now, outbox& out);
     /// Returns the staged writes, in order; they count once `on_synced` is called.
     std::vector<staged_write> take_writes();
     void on_synced(time_point now, outbox& out);
+    void count_sync() { counters_->add(event::syncs); }
     /// Stops the replica for ever and returns `reason`.
     error stop(error reason);
 
@@ -127,14 +128,20 @@
 private:
     enum class role : std::uint8_t { follower, pre_candidate, candidate, leader };
 
+    struct datagram {
+        std::int64_t last_index = 0;
+        std::size_t size = 0;
+    };
+
     // What the leader knows about another member, by folder id.
     struct progress {
         std::int64_t match = 0;
         std::int64_t next = 1;
         std::int64_t acked_round = 0;
         std::int64_t commit_sent = 0;
-        // Last index of each datagram with entries that was sent and not acknowledged.
-        std::deque<std::int64_t> in_flight;
+        // Datagrams with entries that were sent and not acknowledged.
+        std::deque<datagram> in_flight;
+        std::size_t bytes_in_flight = 0;
         // One datagram at a time until the follower's log is known to agree.
         bool probing = true;
         time_point moved_at;
@@ -202,6 +209,8 @@
     void pump(time_point now, outbox& out);
     void replicate(time_point now, const wire::member& to, progress& p, outbox& out);
     void send_append(time_point now, const wire::member& to, progress& p, outbox& out);
+    [[nodiscard]] static bool window_open(const progress& p);
+    static void clear_in_flight(progress& p);
     void rewind(time_point now, progress& p, std::int64_t next);
     void note_reply(time_point now, progress& p, std::int64_t round);
     void advance_commit(time_point now);
--- a/src/libperidotcleat/version/replica_append.cpp
+++ b/src/libperidotcleat/version/replica_append.cpp
@@ -17,6 +17,8 @@
 // A joiner repeats its request twice a second.
 constexpr std::chrono::milliseconds joiner_kept{2000};
 constexpr std::size_t max_in_flight = 64;
+// Large entries would otherwise overflow the receive buffer of a socket (208 KB by default on Linux).
+constexpr std::size_t max_bytes_in_flight = 96 * 1024;
 // Of `max_control_body`, what the fields other than the entries' data take at most.
 constexpr std::size_t append_overhead = 80;
 constexpr std::size_t entry_overhead = 32;
@@ -28,7 +30,9 @@
 template <class T, class F>
 T replica_core::quorum_value(T own, F of) const
 {
+    static const progress none;
     std::vector<T> values;
+    values.reserve(members().size());
     for (const wire::member& m : members()) {
         if (!m.voter) {
             continue;
@@ -37,11 +41,11 @@
             values.push_back(own);
         } else {
             const auto it = progress_.find(m.folder_id);
-            values.push_back(of(it == progress_.end() ? progress{} : it->second));
+            values.push_back(it == progress_.end() ? of(none) : of(it->second));
         }
     }
     if (values.empty()) {
-        return of(progress{});
+        return of(none);
     }
     std::sort(values.begin(), values.end(), std::greater<>());
     return values[values.size() / 2];
@@ -161,7 +165,8 @@
         p.match = m.match;
         p.moved_at = now;
         p.next = std::max(p.next, p.match + 1);
-        while (!p.in_flight.empty() && p.in_flight.front() <= p.match) {
+        while (!p.in_flight.empty() && p.in_flight.front().last_index <= p.match) {
+            p.bytes_in_flight -= p.in_flight.front().size;
             p.in_flight.pop_front();
         }
         advance_commit(now);
@@ -177,10 +182,22 @@
     p.acked_round = std::max(p.acked_round, std::min(round, round_));
 }
 
+bool replica_core::window_open(const progress& p)
+{
+    return p.in_flight.size() < (p.probing ? 1 : max_in_flight) &&
+           (p.in_flight.empty() || p.bytes_in_flight < max_bytes_in_flight);
+}
+
+void replica_core::clear_in_flight(progress& p)
+{
+    p.in_flight.clear();
+    p.bytes_in_flight = 0;
+}
+
 void replica_core::rewind(time_point now, progress& p, std::int64_t next)
 {
     p.next = std::clamp(next, p.match + 1, std::max(p.match, log_.last_index()) + 1);
-    p.in_flight.clear();
+    clear_in_flight(p);
     p.probing = true;
     p.rewound_at = now;
 }
@@ -257,8 +274,7 @@
             return;
         }
     }
-    const std::size_t window = p.probing ? 1 : max_in_flight;
-    while (p.in_flight.size() < window && p.next <= log_.last_index()) {
+    while (window_open(p) && p.next <= log_.last_index()) {
         send_append(now, to, p, out);
     }
     if (!p.probing && commit_ > p.commit_sent) {
@@ -277,13 +293,13 @@
     r.round = round_;
     r.quorum_age_ms = static_cast<std::int32_t>(std::min<std::int64_t>(quorum_age(now).count(), 1 << 30));
     std::size_t size = append_overhead;
-    const std::size_t window = p.probing ? 1 : max_in_flight;
-    while (p.next <= log_.last_index() && p.in_flight.size() < window) {
+    while (p.next <= log_.last_index() && window_open(p)) {
         const wire::log_entry& e = log_.at(p.next);
-        size += entry_overhead + e.data.size();
-        if (size > max_control_body && !r.entries.empty()) {
+        const std::size_t added = entry_overhead + e.data.size();
+        if (size + added > max_control_body && !r.entries.empty()) {
             break;
         }
+        size += added;
         r.entries.push_back(e);
         ++p.next;
     }
@@ -291,7 +307,8 @@
         if (p.in_flight.empty()) {
             p.moved_at = now;
         }
-        p.in_flight.push_back(p.next - 1);
+        p.in_flight.push_back({p.next - 1, size});
+        p.bytes_in_flight += size;
     }
     p.commit_sent = commit_;
     send(from_wire(to.address), std::move(r), out);
--- a/src/libperidotcleat/version/replica_core.cpp
+++ b/src/libperidotcleat/version/replica_core.cpp
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-result<replica_core> replica_core::open(replica_settings settings, stored_state stored, time_point now)
+result<replica_core> replica_core::open(const replica_settings& settings, stored_state stored, time_point now)
 {
     if (settings.timing.leader_lease >= settings.timing.election_low ||
         settings.timing.election_low >= settings.timing.election_high) {
@@ -21,7 +21,7 @@
     }
     auto snapshot = std::move(stored.snapshot);
     const auto entries = std::move(stored.entries);
-    replica_core core(std::move(settings), std::move(stored), now);
+    replica_core core(settings, std::move(stored), now);
     core.installed_ = snapshot;
     if (const auto loaded = core.log_.load(std::move(snapshot), entries); !has_value(loaded)) {
         return failure(loaded);
--- a/src/libperidotcleat/version/replica_snapshot.cpp
+++ b/src/libperidotcleat/version/replica_snapshot.cpp
@@ -136,7 +136,7 @@
         p.match = std::max(p.match, m.last_index);
         p.next = std::max(p.next, p.match + 1);
         p.snapshot = p.acked_offset = p.sent_offset = 0;
-        p.in_flight.clear();
+        clear_in_flight(p);
         p.moved_at = now;
         advance_commit(now);
         return;
--- a/src/testing/replica_checker.h
+++ b/src/testing/replica_checker.h
@@ -22,11 +22,12 @@
 /// throws `invariant_violation`. Counts nothing that the replicas themselves have counted.
 class replica_checker {
 public:
-    /// An entry was handed to the host of `folder`, after the one at `previous`.
-    void on_committed(std::int64_t folder, std::int64_t previous, const wire::log_entry& e)
+    /// An entry was handed to the host of `folder`, which is in `term`, after the one at `previous`.
+    void on_committed(std::int64_t folder, std::int64_t term, std::int64_t previous, const wire::log_entry& e)
     {
         require(e.index == previous + 1, "entry out of order", e.index);
         const auto [it, added] = committed_.emplace(e.index, e);
+        commit_terms_.emplace(e.index, term);
         require(added || it->second == e, "two entries committed at one index", e.index);
         std::int64_t& high = commit_[folder];
         high = std::max(high, e.index);
@@ -68,7 +69,12 @@
         votes.insert(folder);
         require(is_quorum(members, [&](std::int64_t f) { return votes.contains(f); }),
                 "a leader without the votes of a quorum of its members", term);
+        // Late votes may complete the election of a term after a later one has committed entries. Such a
+        // leader need not hold them, and cannot commit anything itself.
         for (const auto& [index, entry] : committed_) {
+            if (commit_terms_[index] > term) {
+                continue;
+            }
             require(holds(log, entry), "a leader lacks a committed entry", index);
         }
     }
@@ -146,6 +152,8 @@
     }
 
     std::map<std::int64_t, wire::log_entry> committed_;
+    // Term of the first replica that knew of the commit.
+    std::map<std::int64_t, std::int64_t> commit_terms_;
     std::map<std::int64_t, std::int64_t> commit_;
     std::map<std::int64_t, std::int64_t> terms_;
     std::map<std::int64_t, std::int64_t> leaders_;
--- a/src/testing/replica_group.h
+++ b/src/testing/replica_group.h
@@ -33,7 +33,7 @@
 
     replica_group(std::uint64_t seed, std::size_t size) : net(seed)
     {
-        net.set_tick_period(std::chrono::milliseconds(40));
+        net.set_tick_period(std::chrono::milliseconds(50));
         for (std::size_t i = 0; i < size; ++i) {
             add_host(net.random()());
         }
@@ -86,7 +86,7 @@
         h.applied = h.checked_commit = 0;
         h.digest = 0;
         h.ticket.reset();
-        const std::size_t index = static_cast<std::size_t>(&h - hosts.data());
+        const auto index = static_cast<std::size_t>(&h - hosts.data());
         net.add(
             h.at,
             [this, index](time_point now, const endpoint& from, const message& m, outbox& out) {
@@ -146,6 +146,11 @@
     bool may_lose(const host& h)
     {
         host* l = leader();
+        if (l == nullptr && !formed_ && !lost_while_forming_) {
+            // While the group forms, one founder may be emptied.
+            lost_while_forming_ = true;
+            return true;
+        }
         if (l == nullptr || l->process->commit_index() == 0) {
             return false;
         }
@@ -159,7 +164,15 @@
         return intact * 2 > voters && list_is_committed(*l);
     }
 
-    const fake_disk_content* find(std::int64_t folder) const
+    /// Returns true if the member list of `h` holds the present folder of each host as a voter.
+    [[nodiscard]] bool all_are_voters(const host& h) const
+    {
+        return h.process && h.process->members().size() == hosts.size() &&
+               std::all_of(h.process->members().begin(), h.process->members().end(),
+                           [&](const wire::member& m) { return m.voter && find(m.folder_id) != nullptr; });
+    }
+
+    [[nodiscard]] const fake_disk_content* find(std::int64_t folder) const
     {
         for (const host& h : hosts) {
             if (h.disk->folder() == folder) {
@@ -175,6 +188,7 @@
     std::vector<wire::member> founders;
     std::size_t snapshot_every = 40;
     std::size_t snapshot_padding = 3000;
+    bool reads_enabled = true;
     std::uint64_t reads_confirmed = 0;
 
 private:
@@ -183,12 +197,20 @@
         return combine(digest, combine(static_cast<std::uint64_t>(e.index), hash_bytes(e.data)));
     }
 
-    bool list_is_committed(const host& l) const
+    // The process may have staged a list that its disk does not hold yet.
+    [[nodiscard]] static bool list_is_committed(const host& l)
     {
-        const auto& entries = l.disk->current().entries;
-        return std::none_of(entries.begin(), entries.end(), [&](const wire::log_entry& e) {
-            return e.kind == pvt::kind_members && e.index > l.process->commit_index();
-        });
+        const stored_state& disk = l.disk->current();
+        wire::member_list last = disk.snapshot ? disk.snapshot->members : wire::member_list{};
+        for (const wire::log_entry& e : disk.entries) {
+            if (e.kind == pvt::kind_members && e.index > l.process->commit_index()) {
+                return false;
+            }
+            if (e.kind == pvt::kind_members) {
+                last = value(decode_struct<wire::member_list>(e.data));
+            }
+        }
+        return last.members == l.process->members();
     }
 
     void after_event(host& h, time_point now, outbox& out, bool flush)
@@ -197,8 +219,10 @@
         if (flush) {
             flush_and_wait(h, now, out);
         }
+        check_sizes(out);
         checker.on_term(h.disk->folder(), h.disk->durable().hard.term);
         if (r.is_leader()) {
+            formed_ = formed_ || all_are_voters(h);
             checker.on_leader(r.term(), h.disk->current(), r.members());
             if (r.commit_index() > h.checked_commit && h.checked_commit > 0) {
                 checker.on_leader_commit(r.commit_index(), r.term(), r.members(),
@@ -215,6 +239,22 @@
         replica_checker::on_accepting(accepting);
     }
 
+    // Only an append of a single entry may exceed the size of a control message.
+    static void check_sizes(const outbox& out)
+    {
+        for (const send_action& s : out.sends) {
+            const auto* append = std::get_if<wire::append_request>(&s.body);
+            const bool bounded = append != nullptr ? append->entries.size() > 1
+                                                   : std::holds_alternative<wire::snapshot_chunk>(s.body);
+            if (bounded) {
+                const std::size_t header = encode(cluster_id{1}, wire::change_notice{}).size();
+                const std::size_t size = encode(cluster_id{1}, s.body).size();
+                replica_checker::require(size <= max_control_body + header, "a message is too large",
+                                         static_cast<std::int64_t>(size));
+            }
+        }
+    }
+
     void flush_and_wait(host& h, time_point now, outbox& out)
     {
         (void)h.process->flush(now, out);
@@ -241,7 +281,7 @@
                                      s->index);
         }
         for (const wire::log_entry& e : h.process->take_committed()) {
-            checker.on_committed(h.disk->folder(), h.applied, e);
+            checker.on_committed(h.disk->folder(), h.process->term(), h.applied, e);
             h.applied = e.index;
             h.digest = next_digest(h.digest, e);
         }
@@ -267,6 +307,9 @@
     void read(host& h, time_point now)
     {
         if (!h.ticket) {
+            if (!reads_enabled || net.random()() % 16 != 0) {
+                return;
+            }
             const auto ticket = h.process->begin_read(now);
             if (has_value(ticket)) {
                 h.ticket = value(ticket);
@@ -286,6 +329,8 @@
     }
 
     std::vector<std::uint64_t> digests_{0};
+    bool formed_ = false;
+    bool lost_while_forming_ = false;
 };
 
 }  // namespace peridotcleat::testing
