Bound retries over any 200 requests, records, and work after a drain

A bucket of ten retries that earned the full share let the callers of a failed upstream exceed the share for as long as they spent what they had saved. Requests now earn nine tenths of the share, and the bucket holds the tenth of 200 requests.

A target that was stopped for a while could start queued requests later than 5 s after it began to drain; the queue is now ended before a slot is given. Records of all flows are bounded.

--- a/src/include/peridotcleat/admission.h
+++ b/src/include/peridotcleat/admission.h
@@ -250,7 +250,7 @@
     struct queued_request {
         request_name name;
         time_point deadline;
-        std::uint64_t arrival;
+        std::uint64_t arrival = 0;
     };
 
     struct service_share {
--- a/src/include/peridotcleat/request_table.h
+++ b/src/include/peridotcleat/request_table.h
@@ -39,6 +39,8 @@
     std::uint32_t part_bytes = 1100;
     /// Bytes of answers that are kept; while more are, new requests are refused with `queue_full`.
     std::size_t answer_memory = 64U << 20U;
+    /// Records of all flows; requests beyond are dropped without a reply, so that they are not run.
+    std::size_t max_records = 1U << 18U;
     /// Pushes of one flow that may wait for their acknowledgement.
     std::uint32_t push_queue = 64;
     /// Requests that still wait this long after draining began are refused, so that no new work starts later.
@@ -151,6 +153,7 @@
                     pvt::request_record& record, outbox& out) const;
     void expire_answers(time_point now);
     void enforce_deadlines(time_point now, outbox& out);
+    void refuse_drained(time_point now, outbox& out);
     void drain_tick(time_point now, outbox& out);
     void send_pushes(time_point now, flow_token token, pvt::flow_records& flow, outbox& out);
 
@@ -167,6 +170,7 @@
     std::map<request_name, running_request> running_;
     std::size_t waiting_ = 0;
     std::deque<finished_entry> finished_;
+    std::size_t record_count_ = 0;
     std::size_t unacknowledged_ = 0;
     std::size_t answer_bytes_ = 0;
     std::set<flow_token> pushing_;
--- a/src/include/peridotcleat/retry_budget.h
+++ b/src/include/peridotcleat/retry_budget.h
@@ -8,8 +8,10 @@
 
 /// Limits retries to a share of new requests. Not thread-safe.
 ///
-/// Each new request earns `percent` hundredths of a retry. The bucket starts with half a retry, so that many
-/// callers that have sent a few requests each cannot double the load together, and holds at most ten.
+/// A token bucket: each new request earns nine tenths of `percent`, and the bucket holds at most what keeps
+/// the retries of any 200 or more consecutive requests within `percent`, even if it was full before them (but
+/// at least one retry). It starts with half a retry, so that many callers that have sent a few requests each
+/// cannot double the load together.
 class retry_budget {
 public:
     /// Fails with `invalid_setting` if `percent` is above 1000.
@@ -19,19 +21,19 @@
     void on_new_request() noexcept;
     /// Takes one retry from the budget. Returns false and takes nothing if less than one is left.
     [[nodiscard]] bool try_take() noexcept;
-    /// Returns the hundredths of a retry that are left.
-    [[nodiscard]] std::uint32_t hundredths_left() const noexcept { return hundredths_; }
+    /// Returns the thousandths of a retry that are left.
+    [[nodiscard]] std::uint32_t thousandths_left() const noexcept { return thousandths_; }
 
 private:
-    static constexpr std::uint32_t one_retry = 100;
-    static constexpr std::uint32_t max_percent = 1000;
+    static constexpr std::uint32_t one_retry = 1000;
     static constexpr std::uint32_t start = one_retry / 2;
-    static constexpr std::uint32_t limit = 10 * one_retry;
+    static constexpr std::uint32_t max_percent = 1000;
 
-    explicit retry_budget(std::uint32_t percent) noexcept : percent_(percent) {}
+    explicit retry_budget(std::uint32_t percent) noexcept;
 
-    std::uint32_t percent_;
-    std::uint32_t hundredths_ = start;
+    std::uint32_t earned_;
+    std::uint32_t limit_;
+    std::uint32_t thousandths_ = start;
 };
 
 }  // namespace peridotcleat
--- a/src/libperidotcleat/request/caller.cpp
+++ b/src/libperidotcleat/request/caller.cpp
@@ -15,6 +15,9 @@
 
 constexpr milliseconds longest_resend{2000};
 constexpr std::uint32_t max_attempts = 3;
+// With less than this part of its time left, a request is not worth a retry: the next target would have to
+// refuse it because of its deadline, and the budget would be spent.
+constexpr int least_part_left = 8;
 // Flows that may be opened for one request after its first attempt.
 constexpr std::uint32_t max_opens = 3;
 // Flows besides the first one that retries share.
@@ -304,7 +307,8 @@
 bool caller::retry_elsewhere(time_point now, std::uint64_t id, error_code reason, sends& out)
 {
     caller_request& r = requests_.at(id);
-    if (r.cancelled || r.attempts >= max_attempts || now >= r.deadline) {
+    if (r.cancelled || r.attempts >= max_attempts ||
+        now + r.content.deadline / least_part_left >= r.deadline) {
         return false;
     }
     if (!budget_.try_take()) {
--- a/src/libperidotcleat/request/request_table.cpp
+++ b/src/libperidotcleat/request/request_table.cpp
@@ -167,7 +167,7 @@
         send_state(now, key, name, it->second, out);
         return;
     }
-    if (m.sequence >= flow->settled_below + request_window) {
+    if (m.sequence >= flow->settled_below + request_window || record_count_ >= settings_.max_records) {
         // A refusal would have to be recorded; without a reply the caller sends the request again later.
         counted_->refuse(error_code::flow_limit);
         return;
@@ -191,6 +191,7 @@
                           const wire::request& m, outbox& out)
 {
     request_record& record = flow.records[name.sequence];
+    ++record_count_;
     record.idempotent = m.idempotent;
     record.deadline = now + std::chrono::milliseconds(m.remaining_ms);
     const error_code early = refuse_early(m);
@@ -225,6 +226,7 @@
 
 void request_table::start_waiting(time_point now, outbox& out)
 {
+    refuse_drained(now, out);
     while (const auto name = slots_->next(now, service_)) {
         request_record* record = find_record(*name);
         if (record == nullptr) {
@@ -322,13 +324,15 @@
         out.reply(key, make_result(name, wire_status::not_run, reason));
         return;
     }
-    if (m.sequence < flow->settled_below || m.sequence >= flow->settled_below + request_window) {
+    if (m.sequence < flow->settled_below || m.sequence >= flow->settled_below + request_window ||
+        record_count_ >= settings_.max_records) {
         return;
     }
     // A cancellation that overtakes its request leaves a record, so that the request is refused later.
     const auto [it, overtook] = flow->records.try_emplace(m.sequence);
     request_record& record = it->second;
     if (overtook) {
+        ++record_count_;
         refuse(now, name, error_code::cancelled, out);
     } else if (record.state == record_state::waiting) {
         slots_->withdraw(service_, name);
@@ -399,6 +403,7 @@
 
 void request_table::drop_record(const request_name& name, const request_record& record, outbox& out)
 {
+    --record_count_;
     if (record.state == record_state::waiting) {
         slots_->withdraw(service_, name);
         --waiting_;
@@ -525,6 +530,19 @@
     draining_since_.reset();
 }
 
+// Ends what still waits some time after draining began. A process that was stopped for a while gets here
+// first as well, so that nothing starts too late.
+void request_table::refuse_drained(time_point now, outbox& out)
+{
+    if (!draining_since_ || now - *draining_since_ < settings_.drain_queue || waiting_ == 0) {
+        return;
+    }
+    for (const request_name& name : slots_->withdraw_all(service_)) {
+        --waiting_;
+        refuse(now, name, error_code::draining, out);
+    }
+}
+
 void request_table::drain_tick(time_point now, outbox& out)
 {
     if (!draining_) {
@@ -533,13 +551,11 @@
     if (!draining_since_) {
         draining_since_ = now;
         next_drain_notice_ = now;
-    }
-    if (now - *draining_since_ >= settings_.drain_queue && waiting_ > 0) {
-        for (const request_name& name : slots_->withdraw_all(service_)) {
-            --waiting_;
-            refuse(now, name, error_code::draining, out);
+        for (auto& [token, flow] : flows_) {
+            flow.drain_notices = 0;
         }
     }
+    refuse_drained(now, out);
     if (now < next_drain_notice_) {
         return;
     }
--- a/src/libperidotcleat/request/request_test.cpp
+++ b/src/libperidotcleat/request/request_test.cpp
@@ -30,6 +30,8 @@
     s.requests.ramp = milliseconds(random() % 3 * 1000);
     s.requests.part_bytes = 100 + static_cast<std::uint32_t>(random() % 1000);
     s.callers_with.retry_percent = static_cast<std::uint32_t>(random() % 3 * 20);
+    // 250 parts take several rounds.
+    s.upstreams.max_answer = random() % 8 == 0 ? 25000 : 2500;
     s.upstreams.slots = 1 + static_cast<std::uint32_t>(random() % 3);
     s.upstreams.service_time = milliseconds(10 + random() % 200);
     s.upstreams.shed = random() % 3 == 0 ? 0.2 : 0;
@@ -54,8 +56,11 @@
         const std::size_t target = random_() % world_->targets();
         switch (random_() % 40) {
         case 0: world_->crash_target(target); break;
-        case 1: crash_upstream(target); break;
+        case 1: world_->upstream(target).crash(); break;
         case 2: world_->upstream(target).start(); break;
+        case 9: world_->freeze_target(target, milliseconds(random_() % 3000)); break;
+        case 10: world_->freeze_caller(random_() % world_->callers(), milliseconds(random_() % 3000)); break;
+        case 11: world_->cut(random_() % world_->callers(), target, milliseconds(random_() % 2000)); break;
         case 3:
         case 4:
             if (world_->is_up(target)) {
@@ -95,8 +100,6 @@
         }
     }
 
-    void crash_upstream(std::size_t target) { world_->upstream(target).crash(); }
-
     request_world* world_;
     std::mt19937_64 random_;
 };
--- a/src/libperidotcleat/request/retry_budget.cpp
+++ b/src/libperidotcleat/request/retry_budget.cpp
@@ -4,6 +4,19 @@
 
 namespace peridotcleat {
 
+namespace {
+
+// 200 requests earn 9/10 of their share; a full bucket adds the remaining tenth.
+constexpr std::uint32_t earned_per_percent = 9;
+constexpr std::uint32_t held_per_percent = 200;
+
+}  // namespace
+
+retry_budget::retry_budget(std::uint32_t percent) noexcept
+    : earned_(percent * earned_per_percent), limit_(std::max(percent * held_per_percent, one_retry))
+{
+}
+
 result<retry_budget> retry_budget::create(std::uint32_t percent)
 {
     if (percent > max_percent) {
@@ -13,15 +26,15 @@
     return retry_budget(percent);
 }
 
-void retry_budget::on_new_request() noexcept { hundredths_ = std::min(hundredths_ + percent_, limit); }
+void retry_budget::on_new_request() noexcept { thousandths_ = std::min(thousandths_ + earned_, limit_); }
 
 bool retry_budget::try_take() noexcept
 {
     // A budget of 0 percent permits no retry at all, the start included.
-    if (percent_ == 0 || hundredths_ < one_retry) {
+    if (earned_ == 0 || thousandths_ < one_retry) {
         return false;
     }
-    hundredths_ -= one_retry;
+    thousandths_ -= one_retry;
     return true;
 }
 
--- a/src/testing/request_checker.h
+++ b/src/testing/request_checker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -100,6 +101,15 @@
         }
     }
 
+    /// A target starts a request `since` after it began to drain.
+    void started_while_draining(incarnation at, std::chrono::microseconds since)
+    {
+        if (since > std::chrono::seconds(5)) {
+            violations_.push_back("target " + std::to_string(at.value) + " starts work " +
+                                  std::to_string(since.count()) + " us after it began to drain");
+        }
+    }
+
     /// Pushes of each flow are numbered from 1; `text` is `flow:number`.
     void pushed(const std::string& text)
     {
--- a/src/testing/request_world.h
+++ b/src/testing/request_world.h
@@ -118,6 +118,7 @@
     void drain_target(std::size_t i)
     {
         targets_[i]->draining = true;
+        targets_[i]->drained_at = net_.now();
         targets_[i]->table->set_draining(true);
     }
     [[nodiscard]] bool is_draining(std::size_t i) const { return targets_[i]->draining; }
@@ -140,6 +141,23 @@
         net_.dispatch(t.at, out);
     }
 
+    /// Stops a target or a caller for a while; what arrives meanwhile is handled afterwards.
+    void freeze_target(std::size_t i, std::chrono::milliseconds d)
+    {
+        net_.freeze(targets_[i]->at, net_.now() + d);
+    }
+    void freeze_caller(std::size_t i, std::chrono::milliseconds d)
+    {
+        net_.freeze(callers_[i]->at, net_.now() + d);
+    }
+    /// Cuts both directions between a caller and a target for a while.
+    void cut(std::size_t from, std::size_t to, std::chrono::milliseconds d)
+    {
+        net_.cut_groups({callers_[from]->at}, {targets_[to]->at}, true);
+        net_.at(net_.now() + d,
+                [this, from, to] { net_.cut_groups({callers_[from]->at}, {targets_[to]->at}, false); });
+    }
+
     /// Keeps a copy of each request that a target gets with chance `p`, and delivers it in `after`.
     void keep_back(double p, std::chrono::milliseconds after)
     {
@@ -191,6 +209,7 @@
         incarnation id;
         std::uint64_t generation = 0;
         bool draining = false;
+        time_point drained_at;
         std::map<flow_key, held_flow> flows;
         std::map<std::int64_t, std::uint64_t> pushed;
     };
@@ -378,7 +397,7 @@
         }
     }
 
-    void perform(time_point /*now*/, std::size_t i, outbox& out)
+    void perform(time_point now, std::size_t i, outbox& out)
     {
         target_host& t = *targets_[i];
         for (const caller_reply& r : out.replies) {
@@ -387,6 +406,9 @@
             p.payload = encode(r.body);
             net_.send(t.at, endpoint{r.key.source.address, 1}, p);
         }
+        if (!out.calls.empty() && t.draining) {
+            checker_.started_while_draining(t.id, now - t.drained_at);
+        }
         for (const upstream_call& c : out.calls) {
             t.upstream.call(c, t.id, [this, i, generation = t.generation](const upstream_result& r) {
                 target_host& host = *targets_[i];
