--- a/src/include/peridotcleat/flow_owner.h
+++ b/src/include/peridotcleat/flow_owner.h
@@ -104,6 +104,10 @@
         time_point last_sent;
         wire::place_offer body;
     };
+    struct declined_offer {
+        incarnation owner;
+        std::int64_t id = 0;
+    };
     struct peer_load {
         std::optional<std::int64_t> load;
         time_point last_exchange;
@@ -125,7 +129,7 @@
     void drop(error_code reason);
     void end_flow(time_point now, const flow_key& key, outbox& out);
     void end_idle_flows(time_point now, outbox& out);
-    void end_service(time_point now, outbox& out);
+    void end_service(outbox& out);
     [[nodiscard]] const route_target* owner_of(std::size_t bucket) const;
     [[nodiscard]] const route_target* target(incarnation id) const;
     [[nodiscard]] revision table_revision() const { return routes_ ? routes_->at() : revision{}; }
@@ -142,6 +146,8 @@
     void refuse(const flow_key& key, std::int64_t nonce, error_code reason, outbox& out);
     void start_offer(time_point now, const wire::forwarded_packet& packet, std::int64_t nonce,
                      const route_target& to, bool in_doubt, outbox& out);
+    [[nodiscard]] error_code decide_offer(time_point now, const wire::place_offer& asked, std::int64_t nonce,
+                                          outbox& out);
     void on_place_offer(time_point now, const wire::place_offer& asked, outbox& out);
     void on_place_reply(time_point now, const wire::place_reply& reply, outbox& out);
     void on_declined(time_point now, const offer& declined, error_code reason, outbox& out);
@@ -174,6 +180,8 @@
     pvt::bucket_directory directory_;
     pvt::query_round round_;
     std::unordered_map<flow_key, offer, flow_key_hash> offers_;
+    /// Offers of others that were declined here.
+    pvt::recent_records<declined_offer> declined_;
     std::int64_t next_offer_id_ = 1;
     std::deque<waiting_packet> waiting_;
     std::size_t waiting_bytes_ = 0;
--- a/src/include/peridotcleat/held_flows.h
+++ b/src/include/peridotcleat/held_flows.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "peridotcleat/hash.h"
@@ -29,6 +30,61 @@
 /// A datagram is not expected to arrive later than this after it was sent.
 inline constexpr std::chrono::seconds datagram_lifetime{30};
 
+/// What was decided about flow keys within `datagram_lifetime`, so that a delayed duplicate gets the same
+/// answer. The number of records is bounded; beyond it the oldest one is forgotten early.
+template <class Value>
+class recent_records {
+public:
+    void set(time_point now, const flow_key& key, const Value& value)
+    {
+        records_.insert_or_assign(key, record{now, value});
+        order_.push_back({now, key});
+        if (order_.size() > max_records) {
+            forget_first();
+        }
+    }
+    /// Returns the last value that was set, or null.
+    [[nodiscard]] const Value* find(const flow_key& key) const
+    {
+        const auto it = records_.find(key);
+        return it == records_.end() ? nullptr : &it->second.value;
+    }
+    /// Forgets records that are older than `datagram_lifetime`.
+    void forget(time_point now)
+    {
+        while (!order_.empty() && order_.front().first + datagram_lifetime < now) {
+            forget_first();
+        }
+    }
+    void clear()
+    {
+        records_.clear();
+        order_.clear();
+    }
+
+private:
+    // At 30 s it covers 136 records a second, some 20 times the expected rate of new flows at one target.
+    static constexpr std::size_t max_records = 4096;
+
+    struct record {
+        time_point when;
+        Value value;
+    };
+
+    void forget_first()
+    {
+        const auto it = records_.find(order_.front().second);
+        // A later record of the same key stays.
+        if (it != records_.end() && it->second.when == order_.front().first) {
+            records_.erase(it);
+        }
+        order_.pop_front();
+    }
+
+    std::unordered_map<flow_key, record, flow_key_hash> records_;
+    std::deque<std::pair<time_point, flow_key>> order_;
+};
+
 /// One flow at its holder.
 struct held_flow {
     flow_token token;
@@ -49,9 +105,9 @@
     /// Returns true if the flow that `nonce` opened ended lately, so that the opening is a duplicate.
     [[nodiscard]] bool ended(const flow_key& key, std::int64_t nonce) const;
     /// Records that the flow ended at another target.
-    void remember_end(time_point now, const flow_key& key, std::int64_t nonce);
+    void remember_end(time_point now, const flow_key& key, std::int64_t nonce) { ends_.set(now, key, nonce); }
     /// Forgets ends that are older than `datagram_lifetime`.
-    void forget_ends(time_point now);
+    void forget_ends(time_point now) { ends_.forget(now); }
     /// Returns the flows that were last used before `limit`.
     [[nodiscard]] std::vector<flow_key> unused_since(time_point limit) const;
     void clear();
@@ -63,14 +119,9 @@
     }
 
 private:
-    struct end_record {
-        time_point when;
-        flow_key key;
-    };
-
     std::unordered_map<flow_key, held_flow, flow_key_hash> flows_;
-    std::unordered_map<flow_key, std::int64_t, flow_key_hash> ends_;
-    std::deque<end_record> end_order_;
+    /// Nonces of flows that ended.
+    recent_records<std::int64_t> ends_;
     std::int64_t next_counter_ = 1;
 };
 
--- a/src/libperidotcleat/connection/flow_owner.cpp
+++ b/src/libperidotcleat/connection/flow_owner.cpp
@@ -74,7 +74,7 @@
     const auto index = found != nullptr ? found->index_of(own) : std::nullopt;
     if (!index) {
         service_routes_ = nullptr;
-        end_service(now, out);
+        end_service(out);
         return;
     }
     const bool targets_changed = std::exchange(service_routes_, found) != found;
@@ -319,7 +319,7 @@
     }
 }
 
-void flow_owner::end_service(time_point now, outbox& out)
+void flow_owner::end_service(outbox& out)
 {
     for (const auto& [key, flow] : held_.all()) {
         events_.push_back({flow_event_kind::closed, key, flow.token, {}});
@@ -329,11 +329,11 @@
         counted_->add(event::flows_reset);
         out.reply(key, std::move(reset));
     }
-    (void)now;
     held_.clear();
     directory_.clear();
     round_.stop();
     offers_.clear();
+    declined_.clear();
     waiting_.clear();
     waiting_bytes_ = 0;
     peers_.clear();
@@ -371,6 +371,7 @@
     end_idle_flows(now, out);
     directory_.purge(now);
     held_.forget_ends(now);
+    declined_.forget(now);
     report_load(now, out);
 }
 
--- a/src/libperidotcleat/connection/flow_placement.cpp
+++ b/src/libperidotcleat/connection/flow_placement.cpp
@@ -205,6 +205,35 @@
     offers_.emplace(from_wire(packet.key), std::move(pending));
 }
 
+error_code flow_owner::decide_offer(time_point now, const wire::place_offer& asked, std::int64_t nonce,
+                                    outbox& out)
+{
+    const flow_key key = from_wire(asked.key);
+    error_code refused = error_code::ok;
+    if (held_.ended(key, nonce)) {
+        return error_code::duplicate_request;
+    }
+    if (settle_known(now, key, nonce, refused, out)) {
+        return refused;
+    }
+    // The owner goes on once one copy of an offer has been declined, so no later copy may be accepted.
+    const declined_offer* before = declined_.find(key);
+    if (before != nullptr && before->owner.value == asked.owner && asked.offer_id <= before->id) {
+        return error_code::no_slot;
+    }
+    if (asked.revision < directory_.at(bucket_of(key)).fence.value) {
+        return error_code::handover_pending;
+    }
+    if (const error_code own = accepts(); own != error_code::ok) {
+        return own;
+    }
+    if (load() > asked.load_permille) {
+        return error_code::no_slot;
+    }
+    accept(now, key, nonce, out);
+    return error_code::ok;
+}
+
 void flow_owner::on_place_offer(time_point now, const wire::place_offer& asked, outbox& out)
 {
     if (service_routes_ == nullptr || asked.service_id != service_.value || asked.holder != own_.value) {
@@ -218,22 +247,10 @@
         return;
     }
     note_revision(now, {asked.revision}, endpoint{}, out);
-    const flow_key key = from_wire(asked.key);
-    error_code reason = error_code::ok;
-    if (held_.ended(key, opening->nonce)) {
-        reason = error_code::duplicate_request;
-    } else if (!settle_known(now, key, opening->nonce, reason, out)) {
-        reason = accepts();
-        if (asked.revision < directory_.at(bucket_of(key)).fence.value) {
-            reason = error_code::handover_pending;
-        } else if (reason == error_code::ok && load() > asked.load_permille) {
-            reason = error_code::no_slot;
-        }
-        if (reason == error_code::ok) {
-            accept(now, key, opening->nonce, out);
-        } else {
-            counted_->add(event::flows_offer_declined);
-        }
+    const error_code reason = decide_offer(now, asked, opening->nonce, out);
+    if (reason != error_code::ok) {
+        declined_.set(now, from_wire(asked.key), {{asked.owner}, asked.offer_id});
+        counted_->add(event::flows_offer_declined);
     }
     if (target({asked.owner}) != nullptr) {
         peer_load& peer = peers_[{asked.owner}];
--- a/src/libperidotcleat/connection/held_flows.cpp
+++ b/src/libperidotcleat/connection/held_flows.cpp
@@ -2,13 +2,6 @@
 
 namespace peridotcleat::pvt {
 
-namespace {
-
-// Bounds the memory for ended flows; at 30 s it covers 136 ends a second, some 20 times the expected rate.
-constexpr std::size_t max_ends = 4096;
-
-}  // namespace
-
 const held_flow& held_flows::open(time_point now, const flow_key& key, std::int64_t nonce, incarnation own)
 {
     held_flow& flow = flows_[key];
@@ -34,26 +27,8 @@
 
 bool held_flows::ended(const flow_key& key, std::int64_t nonce) const
 {
-    const auto it = ends_.find(key);
-    return it != ends_.end() && it->second == nonce;
-}
-
-void held_flows::remember_end(time_point now, const flow_key& key, std::int64_t nonce)
-{
-    ends_[key] = nonce;
-    end_order_.push_back({now, key});
-    if (end_order_.size() > max_ends) {
-        ends_.erase(end_order_.front().key);
-        end_order_.pop_front();
-    }
-}
-
-void held_flows::forget_ends(time_point now)
-{
-    while (!end_order_.empty() && end_order_.front().when + datagram_lifetime < now) {
-        ends_.erase(end_order_.front().key);
-        end_order_.pop_front();
-    }
+    const std::int64_t* last = ends_.find(key);
+    return last != nullptr && *last == nonce;
 }
 
 std::vector<flow_key> held_flows::unused_since(time_point limit) const
@@ -71,7 +46,6 @@
 {
     flows_.clear();
     ends_.clear();
-    end_order_.clear();
 }
 
 }  // namespace peridotcleat::pvt
--- a/src/testing/flow_checker.h
+++ b/src/testing/flow_checker.h
@@ -30,8 +30,8 @@
     time_point closes;
 };
 
-/// Checks the invariants of flows while a run goes on. The driver reports what callers and agents see, and the
-/// changes that it makes; violations are collected as text.
+/// Checks the invariants of flows while a run goes on. The driver reports what callers and agents see, and
+/// the changes that it makes; violations are collected as text.
 class flow_checker {
 public:
     /// An open flow must get an answer within this time, although up to 4 s may pass until all tables agree
@@ -86,7 +86,8 @@
         const bool wanted =
             flow.at == caller_flow_state::phase::opening || flow.at == caller_flow_state::phase::open;
         // After the first holder has failed, a repeated opening rightly finds another one.
-        if (!first && wanted && it->second != std::pair(holder, token) && !targets_[it->second.first].failed) {
+        if (!first && wanted && it->second != std::pair(holder, token) &&
+            !targets_[it->second.first].failed) {
             report(now, "two holders of " + to_string(flow.key) + ": " +
                             std::to_string(it->second.first.value) + " and " + std::to_string(holder.value));
         }
--- a/src/testing/flow_world.h
+++ b/src/testing/flow_world.h
@@ -32,8 +32,8 @@
     bool failures = true;
 };
 
-/// Callers, balancers that packets are sprayed over and agents, each on its own version of the table, while the
-/// table changes all the time. No control: the driver applies each change to each node at its own time.
+/// Callers, balancers that packets are sprayed over and agents, each on its own version of the table, while
+/// the table changes all the time. No control: the driver applies each change to each node at its own time.
 class flow_world {
 public:
     explicit flow_world(const flow_world_settings& settings) : settings_(settings), net_(settings.seed)
@@ -181,7 +181,8 @@
 
     service_id any_service()
     {
-        return std::next(table_.services().begin(), static_cast<std::ptrdiff_t>(below(table_.services().size())))
+        return std::next(table_.services().begin(),
+                         static_cast<std::ptrdiff_t>(below(table_.services().size())))
             ->first;
     }
 
@@ -202,8 +203,8 @@
             return;
         }
         const endpoint at = former.value_or(endpoint{0x7f010000U + next_host_++, 9000});
-        const auto outcome = apply(make_target_join(stamp(), service, at, next_nonce_++,
-                                                    static_cast<std::int32_t>(1 + below(7))));
+        const auto outcome = apply(
+            make_target_join(stamp(), service, at, next_nonce_++, static_cast<std::int32_t>(1 + below(7))));
         if (!outcome.joined) {
             return;
         }
@@ -293,7 +294,9 @@
         add_host(n);
         net_.add(
             n->at,
-            [this, n](time_point, const endpoint&, const message& m, outbox& out) { route_packet(*n, m, out); },
+            [this, n](time_point, const endpoint&, const message& m, outbox& out) {
+                route_packet(*n, m, out);
+            },
             [](time_point, outbox&) {});
     }
 
@@ -330,8 +333,9 @@
             return;
         }
         const auto number = next_host_++;
-        patch(operation::add, make_service("service-" + std::to_string(number),
-                                           {endpoint{0x0a000000U + number, 80}, endpoint{0x0a000000U + number, 81}}));
+        patch(operation::add,
+              make_service("service-" + std::to_string(number),
+                           {endpoint{0x0a000000U + number, 80}, endpoint{0x0a000000U + number, 81}}));
         const service_id id = table_.services().rbegin()->first;
         join_target(id, {});
         join_target(id, {});
@@ -438,8 +442,8 @@
 
     void open_flows()
     {
-        const auto live = static_cast<std::size_t>(std::ranges::count_if(
-            flows_, [](const auto& f) { return f.second.at <= phase::open; }));
+        const auto live = static_cast<std::size_t>(
+            std::ranges::count_if(flows_, [](const auto& f) { return f.second.at <= phase::open; }));
         for (std::size_t i = live; i < settings_.flows && i < live + 4; ++i) {
             const wire::service_entry& service = table_.services().at(any_service());
             caller_flow_state f;
@@ -450,8 +454,8 @@
             f.began = net_.now();
             f.next_send = net_.now();
             // Half of the flows live to the end.
-            f.closes = below(2) == 0 ? time_point::max()
-                                     : net_.now() + std::chrono::milliseconds(200 + below(5000));
+            f.closes =
+                below(2) == 0 ? time_point::max() : net_.now() + std::chrono::milliseconds(200 + below(5000));
             flows_.emplace(f.key, f);
         }
     }
@@ -523,7 +527,8 @@
     {
         const auto* packet = std::get_if<wire::return_packet>(&m);
         const auto it = packet != nullptr ? flows_.find(from_wire(packet->key)) : flows_.end();
-        const auto body = packet != nullptr ? decode_caller(packet->payload) : result<caller_message>(error{});
+        const auto body =
+            packet != nullptr ? decode_caller(packet->payload) : result<caller_message>(error{});
         if (it == flows_.end() || !has_value(body)) {
             return;
         }
