--- a/src/include/peridotcleat/placement.h
+++ b/src/include/peridotcleat/placement.h
@@ -13,7 +13,7 @@
     /// False if the owner drains or has no connection left.
     bool own_accepts = true;
     bool has_second = false;
-    /// Last known load of the second candidate, if any was heard.
+    /// Last known load of the second candidate; none until it was heard, which proves that it is serving.
     std::optional<std::int64_t> second_load;
 };
 
@@ -26,12 +26,13 @@
         } -> std::same_as<bool>;
 };
 
-/// Offers a flow to the second candidate when its load is lower than the owner's, or unknown.
+/// Offers a flow to the second candidate when its load is lower than the owner's. A candidate that was never
+/// heard may not have its table yet, and an offer to it can only be withdrawn by its leaving.
 struct two_candidates {
     [[nodiscard]] bool offers(const placement_view& view) const noexcept
     {
         return view.has_second &&
-               (!view.own_accepts || !view.second_load || *view.second_load < view.own_load);
+               (!view.own_accepts || (view.second_load && *view.second_load < view.own_load));
     }
 };
 
--- a/src/libperidotcleat/connection/flow_handover.cpp
+++ b/src/libperidotcleat/connection/flow_handover.cpp
@@ -99,6 +99,10 @@
         return;
     }
     note_revision(now, {query.revision}, endpoint{}, out);
+    if (const incarnation owner{query.owner}; target(owner) != nullptr && !peers_[owner].load) {
+        // It serves, and has mostly joined just now.
+        peers_[owner].load = 0;
+    }
     const pvt::bucket_set buckets = pvt::buckets_from_wire(query.buckets);
     for (std::size_t i = 0; i < bucket_count; ++i) {
         if (!buckets[i]) {
--- a/src/libperidotcleat/connection/flow_owner.cpp
+++ b/src/libperidotcleat/connection/flow_owner.cpp
@@ -108,7 +108,12 @@
         }
     } else if (const auto* load = std::get_if<wire::load_report>(&m)) {
         if (load->service_id == service_.value && target({load->holder}) != nullptr) {
-            peers_[{load->holder}].load = load->load_permille;
+            peer_load& peer = peers_[{load->holder}];
+            if (!peer.load) {
+                // Answered with the next report; otherwise reports would keep each other going.
+                peer.last_exchange = now;
+            }
+            peer.load = load->load_permille;
         }
     }
 }
--- a/src/libperidotcleat/connection/flow_placement.cpp
+++ b/src/libperidotcleat/connection/flow_placement.cpp
@@ -11,8 +11,9 @@
 // Bounds the memory for offers that wait for a reply.
 constexpr std::size_t max_offers = 1024;
 constexpr std::chrono::milliseconds offer_repeat{100};
-// After 20 repetitions without any reply the candidate is taken for lost.
-constexpr std::chrono::milliseconds offer_timeout{2000};
+// After 20 repetitions without any reply the candidate is probably lost, or has no table yet.
+constexpr std::chrono::milliseconds offer_patience{2000};
+constexpr std::chrono::milliseconds slow_offer_repeat{500};
 // Loads go to agents with which this one exchanged an offer or a reply within this time.
 constexpr std::chrono::seconds peer_lifetime{10};
 // Stands for a load that nobody exceeds.
@@ -311,25 +312,20 @@
 
 void flow_owner::repeat_offers(time_point now, outbox& out)
 {
-    std::vector<offer> lost;
-    for (auto it = offers_.begin(); it != offers_.end();) {
-        offer& pending = it->second;
+    for (auto& item : offers_) {
+        offer& pending = item.second;
         const route_target* to = target(pending.holder);
-        if (to == nullptr || pending.first_sent + offer_timeout < now) {
-            lost.push_back(std::move(pending));
-            it = offers_.erase(it);
+        const bool slow = pending.first_sent + offer_patience < now;
+        if (to == nullptr || pending.last_sent + (slow ? slow_offer_repeat : offer_repeat) > now) {
             continue;
         }
-        if (pending.last_sent + offer_repeat <= now) {
-            pending.last_sent = now;
-            out.send(to->agent, pending.body);
+        if (slow) {
+            // It is not the first choice for other flows until it is heard again. This flow stays offered,
+            // because the target may accept a copy at any time until it has left the table.
+            peers_[pending.holder].load.reset();
         }
-        ++it;
-    }
-    for (const offer& pending : lost) {
-        // Its load is unknown again, but it is not the first choice until it reports.
-        peers_[pending.holder].load = unlimited_load;
-        on_declined(now, pending, error_code::no_slot, out);
+        pending.last_sent = now;
+        out.send(to->agent, pending.body);
     }
 }
 
@@ -342,7 +338,9 @@
     report.load_permille = load();
     for (const route_target& t : service_routes_->targets) {
         const auto peer = peers_.find(t.id);
-        if (peer != peers_.end() && peer->second.last_exchange + peer_lifetime > now) {
+        // An agent that was never heard answers with its own load.
+        const bool unknown = peer == peers_.end() || !peer->second.load;
+        if (t.id != own_ && (unknown || peer->second.last_exchange + peer_lifetime > now)) {
             out.send(t.agent, report);
         }
     }
