Test the composed agent and balancer through a rolling replacement

All roles as in the daemons, a leader's decisions on a table that it alone holds, 2 % loss and duplication: each of 3 agents is stopped and replaced while 10 callers send 300 requests.

--- /dev/null
+++ b/src/libperidotcleat/connection/agent_test.cpp
@@ -0,0 +1,349 @@
+#include "peridotcleat/agent.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peridotcleat/balancer.h"
+#include "peridotcleat/caller.h"
+#include "peridotcleat/membership.h"
+#include "testing/fake_network.h"
+#include "testing/table_source.h"
+
+namespace peridotcleat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr endpoint service_address{0x0a000001U, 80};
+constexpr endpoint control_address{0x7f000001U, 7001};
+constexpr endpoint fabric_address{0x7f000001U, 1};
+
+// The decisions of a leader on a table that it alone holds, in place of control.
+class lone_leader {
+public:
+    explicit lone_leader(testing::fake_network& net) : net_(&net)
+    {
+        testing::fill_table(table_, 0, 0, 0);
+        apply(
+            testing::make_patch(1, "first", 0,
+                                {testing::make_operation(testing::operation::add,
+                                                         testing::make_service("sync", {service_address}))}));
+        members_.start(net.now());
+        net.add(
+            control_address,
+            [this](time_point now, const endpoint& from, const message& m, outbox& out) {
+                on_message(now, from, m, out);
+            },
+            [this](time_point now, outbox& out) {
+                relay_.on_tick(now, {}, 1, {}, out);
+                for (const auto& change : members_.expire(now, table_, relay_)) {
+                    (void)members_.on_applied(now, change, apply(change));
+                    relay_.on_table_changed(now, table_, out);
+                }
+            });
+    }
+
+    [[nodiscard]] const table_state& table() const { return table_; }
+
+private:
+    apply_outcome apply(const wire::change& change)
+    {
+        return table_.apply(testing::next_revision(table_), change);
+    }
+
+    void on_message(time_point now, const endpoint& from, const message& m, outbox& out)
+    {
+        if (const auto* pull = std::get_if<wire::pull_request>(&m)) {
+            relay_.on_pull(now, from, *pull, table_, milliseconds(0), out);
+        } else if (const auto* report = std::get_if<wire::relay_report>(&m)) {
+            relay_.on_report(now, from, *report, out);
+        } else if (const auto* request = std::get_if<wire::announce>(&m)) {
+            relay_.remember_announce(now, *request);
+            const auto decision = members_.on_announce(now, *request, table_);
+            if (decision.reply) {
+                relay_.on_announce_reply(now, *decision.reply, out);
+            }
+            if (decision.change) {
+                if (const auto reply = members_.on_applied(now, *decision.change, apply(*decision.change))) {
+                    relay_.on_announce_reply(now, *reply, out);
+                }
+                relay_.on_table_changed(now, table_, out);
+            }
+        }
+    }
+
+    testing::fake_network* net_;
+    counters counted_;
+    table_state table_;
+    membership members_{{}, counted_};
+    relay relay_{counted_};
+};
+
+// Balancers, agents with upstreams that echo after 20 ms, and callers.
+class deployment {
+public:
+    explicit deployment(std::uint64_t seed) : net(seed), leader(net)
+    {
+        net.set_default_quality({milliseconds(2), milliseconds(3), 0.02, 0.02});
+        for (std::uint32_t i = 0; i < 3; ++i) {
+            add_balancer({0x7f000100U + i, 7000});
+        }
+        net.add(
+            fabric_address, [this](time_point now, auto&, const message& m, outbox&) { on_return(now, m); },
+            [this](time_point now, outbox&) { tick_callers(now); });
+    }
+
+    struct agent_host {
+        endpoint at;
+        counters counted;
+        std::unique_ptr<agent> role;
+        time_point last_new_work;
+        std::uint64_t calls = 0;
+    };
+
+    struct caller_host {
+        std::uint32_t address;
+        counters counted;
+        std::unique_ptr<caller> role;
+        std::uint64_t submitted = 0;
+        std::uint64_t answered = 0;
+        std::map<std::string, int> other;
+    };
+
+    agent_host& add_agent(std::uint32_t number)
+    {
+        auto& h = *agents.emplace_back(std::make_unique<agent_host>());
+        h.at = {0x7f000200U + number, 9000};
+        agent_settings s;
+        s.link = link_settings(node_role::target, "upstream-" + std::to_string(number), h.at);
+        s.link.parents = balancers_at;
+        s.requests.slots = 7;
+        s.requests.ramp = milliseconds(0);
+        h.role = std::make_unique<agent>(value(agent::create(s, h.counted)));
+        net.add(
+            h.at,
+            [&h](time_point now, const endpoint& from, const message& m, outbox& out) {
+                h.role->on_message(now, from, m, out);
+            },
+            [&h](time_point now, outbox& out) { h.role->on_tick(now, out); },
+            [this, &h](time_point now, outbox& out) { act(now, h, out); });
+        outbox out;
+        h.role->on_upstream_offer(net.now(), {"sync", 7, 2000}, out);
+        net.dispatch(h.at, out);
+        return h;
+    }
+
+    caller_host& add_caller(std::uint32_t number)
+    {
+        auto& h = *callers.emplace_back(std::make_unique<caller_host>());
+        h.address = 0xc0a80000U + number;
+        caller_settings s;
+        s.local = {h.address, 5000};
+        s.service = service_address;
+        s.seed = number;
+        h.role = std::make_unique<caller>(value(caller::create(s, h.counted)));
+        std::vector<caller_send> sends;
+        h.role->open(net.now(), sends);
+        spray(h, sends);
+        return h;
+    }
+
+    void submit(caller_host& h)
+    {
+        std::vector<caller_send> sends;
+        h.role->submit(net.now(), {"echo", "note-" + std::to_string(++h.submitted), false, seconds(5)},
+                       sends);
+        spray(h, sends);
+    }
+
+    void stop(agent_host& h)
+    {
+        outbox out;
+        h.role->begin_stop(net.now(), out);
+        net.dispatch(h.at, out);
+    }
+
+    testing::fake_network net;
+    lone_leader leader;
+    std::vector<endpoint> balancers_at;
+    std::vector<std::unique_ptr<agent_host>> agents;
+    std::vector<std::unique_ptr<caller_host>> callers;
+
+private:
+    struct balancer_host {
+        counters counted;
+        std::unique_ptr<balancer> role;
+    };
+
+    node_link_settings link_settings(node_role role, std::string name, const endpoint& at)
+    {
+        node_link_settings s;
+        s.role = role;
+        s.name = std::move(name);
+        s.zone = "accra";
+        s.address = at;
+        s.parents = {control_address};
+        s.seed = net.random()();
+        return s;
+    }
+
+    void add_balancer(const endpoint& at)
+    {
+        auto& h = *balancers_.emplace_back(std::make_unique<balancer_host>());
+        balancers_at.push_back(at);
+        h.role = std::make_unique<balancer>(value(balancer::create(
+            {link_settings(node_role::balancer, "balancer-" + std::to_string(at.address), at)}, h.counted)));
+        net.add(
+            at,
+            [&h, at](time_point now, const endpoint& from, const message& m, outbox& out) {
+                if (const auto* packet = std::get_if<wire::caller_packet>(&m)) {
+                    forward(*h.role, at, *packet, out);
+                } else {
+                    h.role->on_message(now, from, m, out);
+                }
+            },
+            [&h](time_point now, outbox& out) { h.role->on_tick(now, out); });
+    }
+
+    static void forward(const balancer& b, const endpoint& at, const wire::caller_packet& packet, outbox& out)
+    {
+        route_decision decision;
+        if (!b.routes() || route(*b.routes(), from_wire(packet.key), decision) != error_code::ok) {
+            return;
+        }
+        wire::forwarded_packet f;
+        f.key = packet.key;
+        f.service_id = decision.service.value;
+        f.revision = decision.at.value;
+        f.incarnation = decision.owner.value;
+        f.balancer = to_wire(at);
+        f.payload = packet.payload;
+        out.send(decision.agent, std::move(f));
+    }
+
+    // Replies go to the fabric, calls to the echoing upstream.
+    void act(time_point now, agent_host& h, outbox& out)
+    {
+        for (const caller_reply& r : out.replies) {
+            wire::return_packet p;
+            p.key = to_wire(r.key);
+            p.payload = encode(r.body);
+            net.send(h.at, fabric_address, p);
+        }
+        for (const upstream_call& c : out.calls) {
+            h.last_new_work = now;
+            ++h.calls;
+            net.at(now + milliseconds(20), [this, &h, c] {
+                outbox later;
+                h.role->on_upstream_result(net.now(), {c.name, error_code::ok, "answer to " + c.body}, later);
+                net.dispatch(h.at, later);
+            });
+        }
+    }
+
+    void spray(const caller_host& h, const std::vector<caller_send>& sends)
+    {
+        for (const caller_send& s : sends) {
+            wire::caller_packet p;
+            p.key = to_wire(flow_key{{h.address, s.port}, service_address, 17});
+            p.payload = s.payload;
+            net.send(fabric_address, balancers_at[net.random()() % balancers_at.size()], p);
+        }
+    }
+
+    void on_return(time_point now, const message& m)
+    {
+        const auto* packet = std::get_if<wire::return_packet>(&m);
+        if (packet == nullptr) {
+            return;
+        }
+        const flow_key key = from_wire(packet->key);
+        for (const auto& h : callers) {
+            if (h->address == key.source.address) {
+                std::vector<caller_send> sends;
+                h->role->on_payload(now, key.source.port, packet->payload, sends);
+                spray(*h, sends);
+                collect(*h);
+            }
+        }
+    }
+
+    void tick_callers(time_point now)
+    {
+        for (const auto& h : callers) {
+            std::vector<caller_send> sends;
+            h->role->on_tick(now, sends);
+            spray(*h, sends);
+            collect(*h);
+        }
+    }
+
+    static void collect(caller_host& h)
+    {
+        for (const finished_request& f : h.role->take_finished()) {
+            if (f.status == request_status::answered && f.body.starts_with("answer to note-")) {
+                ++h.answered;
+            } else {
+                ++h.other[std::string(to_string(f.status)) + "/" + to_string(f.reason)];
+            }
+        }
+    }
+
+    std::vector<std::unique_ptr<balancer_host>> balancers_;
+};
+
+// Guards against planned stops that break flows, cut off requests, take new work for longer than 5 s or never
+// end, with all roles composed as in the daemons: every agent is replaced once while callers send requests.
+TEST(agent, rolling_replacement_loses_nothing)
+{
+    for (std::uint64_t seed = 1; seed <= testing::seed_count(3); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        deployment d(seed);
+        d.net.run_for(seconds(3));
+        for (std::uint32_t i = 0; i < 3; ++i) {
+            d.add_agent(i);
+        }
+        d.net.run_for(seconds(3));
+        for (std::uint32_t i = 0; i < 10; ++i) {
+            d.add_caller(i);
+        }
+        std::map<std::size_t, time_point> stopped;
+        for (int step = 0; step < 300; ++step) {
+            d.submit(*d.callers[d.net.random()() % d.callers.size()]);
+            if (step % 75 == 20) {
+                d.add_agent(static_cast<std::uint32_t>(d.agents.size()));
+            }
+            if (step % 75 == 40 && stopped.size() < 3) {
+                const std::size_t i = stopped.size();
+                stopped[i] = d.net.now();
+                d.stop(*d.agents[i]);
+            }
+            d.net.run_for(milliseconds(100));
+        }
+        d.net.run_for(seconds(40));
+        for (const auto& h : d.callers) {
+            EXPECT_EQ(h->answered, h->submitted);
+            EXPECT_EQ(h->role->broken_flows(), 0U);
+            for (const auto& [what, count] : h->other) {
+                ADD_FAILURE() << what << " " << count;
+            }
+        }
+        EXPECT_EQ(stopped.size(), 3U);
+        for (const auto& [i, since] : stopped) {
+            const auto& h = *d.agents[i];
+            EXPECT_TRUE(h.role->may_stop(d.net.now()))
+                << "agent " << i << " flows " << h.role->status().flows;
+            EXPECT_LE(h.last_new_work, since + seconds(5));
+            EXPECT_GT(h.calls, 0U);
+        }
+    }
+}
+
+}  // namespace
+}  // namespace peridotcleat
