--- a/src/libperidotcleat/connection/flow_placement.cpp
+++ b/src/libperidotcleat/connection/flow_placement.cpp
@@ -11,8 +11,9 @@
 // Bounds the memory for offers that wait for a reply.
 constexpr std::size_t max_offers = 1024;
 constexpr std::chrono::milliseconds offer_repeat{100};
-// After 20 repetitions without any reply the candidate is taken for lost.
-constexpr std::chrono::milliseconds offer_timeout{2000};
+// After 20 repetitions without any reply the candidate is probably lost, or has no table yet.
+constexpr std::chrono::milliseconds offer_patience{2000};
+constexpr std::chrono::milliseconds slow_offer_repeat{500};
 // Loads go to agents with which this one exchanged an offer or a reply within this time.
 constexpr std::chrono::seconds peer_lifetime{10};
 // Stands for a load that nobody exceeds.
@@ -205,6 +206,35 @@
     offers_.emplace(from_wire(packet.key), std::move(pending));
 }
 
+error_code flow_owner::decide_offer(time_point now, const wire::place_offer& asked, std::int64_t nonce,
+                                    outbox& out)
+{
+    const flow_key key = from_wire(asked.key);
+    error_code refused = error_code::ok;
+    if (held_.ended(key, nonce)) {
+        return error_code::duplicate_request;
+    }
+    if (settle_known(now, key, nonce, refused, out)) {
+        return refused;
+    }
+    // The owner goes on once one copy of an offer has been declined, so no later copy may be accepted.
+    const declined_offer* before = declined_.find(key);
+    if (before != nullptr && before->owner.value == asked.owner && asked.offer_id <= before->id) {
+        return error_code::no_slot;
+    }
+    if (asked.revision < directory_.at(bucket_of(key)).fence.value) {
+        return error_code::handover_pending;
+    }
+    if (const error_code own = accepts(); own != error_code::ok) {
+        return own;
+    }
+    if (load() > asked.load_permille) {
+        return error_code::no_slot;
+    }
+    accept(now, key, nonce, out);
+    return error_code::ok;
+}
+
 void flow_owner::on_place_offer(time_point now, const wire::place_offer& asked, outbox& out)
 {
     if (service_routes_ == nullptr || asked.service_id != service_.value || asked.holder != own_.value) {
@@ -218,22 +248,10 @@
         return;
     }
     note_revision(now, {asked.revision}, endpoint{}, out);
-    const flow_key key = from_wire(asked.key);
-    error_code reason = error_code::ok;
-    if (held_.ended(key, opening->nonce)) {
-        reason = error_code::duplicate_request;
-    } else if (!settle_known(now, key, opening->nonce, reason, out)) {
-        reason = accepts();
-        if (asked.revision < directory_.at(bucket_of(key)).fence.value) {
-            reason = error_code::handover_pending;
-        } else if (reason == error_code::ok && load() > asked.load_permille) {
-            reason = error_code::no_slot;
-        }
-        if (reason == error_code::ok) {
-            accept(now, key, opening->nonce, out);
-        } else {
-            counted_->add(event::flows_offer_declined);
-        }
+    const error_code reason = decide_offer(now, asked, opening->nonce, out);
+    if (reason != error_code::ok) {
+        declined_.set(now, from_wire(asked.key), {{asked.owner}, asked.offer_id});
+        counted_->add(event::flows_offer_declined);
     }
     if (target({asked.owner}) != nullptr) {
         peer_load& peer = peers_[{asked.owner}];
@@ -294,25 +312,20 @@
 
 void flow_owner::repeat_offers(time_point now, outbox& out)
 {
-    std::vector<offer> lost;
-    for (auto it = offers_.begin(); it != offers_.end();) {
-        offer& pending = it->second;
+    for (auto& item : offers_) {
+        offer& pending = item.second;
         const route_target* to = target(pending.holder);
-        if (to == nullptr || pending.first_sent + offer_timeout < now) {
-            lost.push_back(std::move(pending));
-            it = offers_.erase(it);
+        const bool slow = pending.first_sent + offer_patience < now;
+        if (to == nullptr || pending.last_sent + (slow ? slow_offer_repeat : offer_repeat) > now) {
             continue;
         }
-        if (pending.last_sent + offer_repeat <= now) {
-            pending.last_sent = now;
-            out.send(to->agent, pending.body);
+        if (slow) {
+            // It is not the first choice for other flows until it is heard again. This flow stays offered,
+            // because the target may accept a copy at any time until it has left the table.
+            peers_[pending.holder].load.reset();
         }
-        ++it;
-    }
-    for (const offer& pending : lost) {
-        // Its load is unknown again, but it is not the first choice until it reports.
-        peers_[pending.holder].load = unlimited_load;
-        on_declined(now, pending, error_code::no_slot, out);
+        pending.last_sent = now;
+        out.send(to->agent, pending.body);
     }
 }
 
@@ -325,7 +338,9 @@
     report.load_permille = load();
     for (const route_target& t : service_routes_->targets) {
         const auto peer = peers_.find(t.id);
-        if (peer != peers_.end() && peer->second.last_exchange + peer_lifetime > now) {
+        // An agent that was never heard answers with its own load.
+        const bool unknown = peer == peers_.end() || !peer->second.load;
+        if (t.id != own_ && (unknown || peer->second.last_exchange + peer_lifetime > now)) {
             out.send(t.agent, report);
         }
     }
