--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -85,6 +85,26 @@
         }
     }
 
+    // Logs changes of the agent's place in the table.
+    void log_changes()
+    {
+        const agent_status now = role_.status();
+        if (now.id != logged_.id) {
+            log_event(now.id.valid() ? log_level::info : log_level::warning,
+                      now.id.valid() ? "joined" : "left_table",
+                      {{"incarnation", now.id.value},
+                       {"former", logged_.id.value},
+                       {"flows", as_field(now.flows)}});
+        }
+        if (now.draining != logged_.draining || now.empty != logged_.empty) {
+            log_event(log_level::info, "state_changed",
+                      {{"draining", now.draining ? "true" : "false"},
+                       {"empty", now.empty ? "true" : "false"},
+                       {"flows", as_field(now.flows)}});
+        }
+        logged_ = now;
+    }
+
     void take_results(time_point now, outbox& out)
     {
         std::vector<upstream_result> results;
@@ -100,6 +120,8 @@
     }
 
 private:
+    static std::int64_t as_field(std::size_t n) { return static_cast<std::int64_t>(n); }
+
     // Runs `task` on the loop's thread and waits for its answer.
     admin_response call(std::function<admin_response(time_point, outbox&)> task)
     {
@@ -192,6 +214,7 @@
     endpoint fabric_;
     std::string id_prefix_;
     int clients_ = 0;
+    agent_status logged_;
     // Guards `client_`; held while calling into the client, whose own lock comes after it.
     std::mutex mutex_;
     std::unique_ptr<upstream_client> client_;
@@ -252,7 +275,10 @@
         r.on_message(now, from, m, out);
     };
     handlers.on_tick = [&](time_point now, outbox& out) { r.on_tick(now, out); };
-    handlers.on_batch_end = [&](time_point now, outbox& out) { host.take_results(now, out); };
+    handlers.on_batch_end = [&](time_point now, outbox& out) {
+        host.take_results(now, out);
+        host.log_changes();
+    };
     handlers.on_actions = [&](time_point, outbox& out) { host.on_actions(out); };
     log_event(log_level::info, "started", {{"listen", to_string(d.listen)}});
     std::thread signals([&] { stop_gracefully(*value(loop), r, stop_limit); });
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <map>
+#include <string>
 #include <thread>
 
 #include "operator_api.h"
@@ -83,6 +85,54 @@
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
 
+// Logs targets and balancers that joined, left or began to drain since the last call.
+class table_log {
+public:
+    void log_changes(const table_state& table)
+    {
+        if (table.current_revision() == seen_) {
+            return;
+        }
+        seen_ = table.current_revision();
+        std::map<incarnation, entry> now;
+        for (const auto& [id, target] : table.targets()) {
+            now[id] = {target.name, target.draining};
+        }
+        for (const auto& [id, node] : table.nodes()) {
+            now[id] = {node.name, false};
+        }
+        for (const auto& [id, e] : now) {
+            const auto former = entries_.find(id);
+            if (former == entries_.end()) {
+                log("node_joined", id, e);
+            } else if (e.draining && !former->second.draining) {
+                log("node_draining", id, e);
+            }
+        }
+        for (const auto& [id, e] : entries_) {
+            if (!now.contains(id)) {
+                log("node_left", id, e);
+            }
+        }
+        entries_ = std::move(now);
+    }
+
+private:
+    struct entry {
+        std::string name;
+        bool draining = false;
+    };
+
+    void log(const char* event, incarnation id, const entry& e) const
+    {
+        log_event(log_level::info, event,
+                  {{"subject", e.name}, {"incarnation", id.value}, {"revision", seen_.value}});
+    }
+
+    revision seen_;
+    std::map<incarnation, entry> entries_;
+};
+
 int run(settings& s)
 {
     const daemon_settings d = read_daemon_settings(s);
@@ -119,6 +169,7 @@
     }
     int code = 0;
     bool was_leading = false;
+    table_log changes;
     loop_handlers handlers;
     handlers.on_message = [&](time_point now, const endpoint& from, const message& m, outbox& out) {
         r.on_message(now, from, m, out);
@@ -135,6 +186,7 @@
             value(loop)->stop();
         }
         api.advance(now);
+        changes.log_changes(r.table());
         if (r.leading() != was_leading) {
             was_leading = r.leading();
             log_event(log_level::info, was_leading ? "leadership_started" : "leadership_ended",
--- /dev/null
+++ b/src/libperidotcleat/version/node_link_test.cpp
@@ -0,0 +1,45 @@
+#include "peridotcleat/node_link.h"
+
+#include <gtest/gtest.h>
+
+namespace peridotcleat {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against a node that never leaves a dead parent while it has traffic: each packet with a newer revision
+// caused a pull from the dead parent and postponed the regular pull, which is the one that tries other parents.
+TEST(node_link, leaves_a_dead_parent_while_newer_revisions_arrive)
+{
+    const endpoint first{1, 1};
+    const endpoint second{1, 2};
+    node_link_settings settings;
+    settings.name = "a";
+    settings.zone = "z";
+    settings.address = {1, 3};
+    settings.parents = {first, second};
+    counters counted;
+    auto created = node_link::create(settings, counted);
+    ASSERT_TRUE(has_value(created));
+    node_link link = value(std::move(created));
+
+    bool pulled_first = false;
+    bool pulled_second = false;
+    time_point now{1s};
+    const time_point end = now + settings.parent_timeout;
+    for (; now < end; now += 50ms) {
+        outbox out;
+        link.on_newer_revision(now, revision{5}, out);
+        link.on_tick(now, out);
+        for (const send_action& s : out.sends) {
+            const bool pull = std::holds_alternative<wire::pull_request>(s.body);
+            pulled_first = pulled_first || (pull && s.to == first);
+            pulled_second = pulled_second || (pull && s.to == second);
+        }
+    }
+    EXPECT_TRUE(pulled_first);
+    EXPECT_TRUE(pulled_second);
+}
+
+}  // namespace
+}  // namespace peridotcleat
