Take nonces from the system's entropy only

An agent restarted with the same flags would have announced the nonce of its former start, kept its incarnation and run a repeated request a second time. Ruled out: keeping the flag for repeatable runs; roles are repeatable in tests, where the host sets the seed. Change: the flag is gone; the demo's seed drives fabric and callers only.

--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -85,15 +85,13 @@
         data.mkdir(exist_ok=True)
         self.launch(f"control-{i}", "peridotcleat-control", "--name", f"control-{i}", "--zone", ZONES[i % 2],
                     "--listen", f"{self.net}.1.{i + 1}:7000", "--admin", f"{self.net}.1.{i + 1}:7100",
-                    "--peers", peers, "--data-folder", str(data), "--bootstrap", "--snapshot-after", "64",
-                    "--seed", str(self.seed + i))
+                    "--peers", peers, "--data-folder", str(data), "--bootstrap", "--snapshot-after", "64")
 
     def start_balancer(self, i):
         parents = ",".join(f"{self.net}.1.{n + 1}:7000" for n in range(CONTROL_COUNT))
         self.launch(f"balancer-{i}", "peridotcleat-balancer", "--name", f"balancer-{i}", "--zone", ZONES[i % 2],
                     "--listen", f"{self.net}.2.{i + 1}:7000", "--data", f"{self.net}.2.{i + 1}:7001",
-                    "--admin", f"{self.net}.2.{i + 1}:7100", "--parents", parents,
-                    "--seed", str(self.seed + 10 + i))
+                    "--admin", f"{self.net}.2.{i + 1}:7100", "--parents", parents)
         self.balancers.append(f"{self.net}.2.{i + 1}:7001")
 
     def start_upstream(self, i, *agent_options):
@@ -103,8 +101,7 @@
         parents = ",".join(f"{self.net}.2.{n + 1}:7000" for n in order)
         self.launch(f"agent-{name}", "peridotcleat-agent", "--name", name, "--zone", zone,
                     "--listen", f"{self.net}.3.{i + 1}:7000", "--admin", f"{self.net}.3.{i + 1}:7100",
-                    "--parents", parents, "--fabric", f"{self.net}.4.1:7300", "--ramp-ms", "1000",
-                    "--seed", str(self.seed + 20 + i), *agent_options)
+                    "--parents", parents, "--fabric", f"{self.net}.4.1:7300", "--ramp-ms", "1000", *agent_options)
         self.launch(f"upstream-{name}", "peridotcleat-upstream", "--service", service,
                     "--listen", f"{self.net}.3.{i + 1}:7200", "--agent", f"{self.net}.3.{i + 1}:7100",
                     "--applied", str(self.folder / f"applied-{name}"), "--slots", str(slots),
--- a/src/include/peridotcleat/daemon.h
+++ b/src/include/peridotcleat/daemon.h
@@ -20,6 +20,7 @@
     endpoint admin;
     cluster_id cluster;
     log_level lowest = log_level::info;
+    /// From the system's entropy, different at each start.
     std::uint64_t seed = 0;
     /// Validate the settings and exit.
     bool check = false;
--- a/src/libperidotcleat/process/daemon.cpp
+++ b/src/libperidotcleat/process/daemon.cpp
@@ -16,7 +16,6 @@
   --admin=A       Address of the HTTP interface.
   --cluster=N     Id of the cluster; messages of others are refused [default: 1].
   --log=S         Lowest level that is logged: debug, info, warning or error [default: info].
-  --seed=N        Seed of random choices; 0 takes one from the system [default: 0].
   --check         Validates the settings and exits.
   --help          Prints this text.
   --version       Prints the version.
@@ -66,11 +65,9 @@
     d.admin = s.address("--admin");
     d.cluster = cluster_id{s.integer("--cluster", 1, INT64_MAX)};
     d.lowest = read_level(s);
-    d.seed = static_cast<std::uint64_t>(s.integer("--seed", 0, INT64_MAX));
-    if (d.seed == 0) {
-        std::random_device device;
-        d.seed = (std::uint64_t{device()} << 32U) | device();
-    }
+    // Not a setting: nonces come from the seed, and a restarted process must never repeat a nonce.
+    std::random_device device;
+    d.seed = (std::uint64_t{device()} << 32U) | device();
     d.check = s.flag("--check");
     if (d.listen.valid() && d.listen == d.admin) {
         s.reject(error_code::invalid_setting, "--admin", to_string(d.admin),
