Leave the round out of replies to requests of an earlier term

Cause: a follower answered a late append of an earlier term with its own term and the round of that append. The same process, restarted and elected again, counted that round as one of its new term, so its lease was valid without a quorum.

--- a/src/libperidotcleat/version/replica_append.cpp
+++ b/src/libperidotcleat/version/replica_append.cpp
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds joiner_kept{2000};
 constexpr std::size_t max_in_flight = 64;
 // Large entries would otherwise overflow the receive buffer of a socket (208 KB by default on Linux).
-constexpr std::size_t max_bytes_in_flight = 96 * 1024;
+constexpr std::size_t max_bytes_in_flight = 98304;
 // Of `max_control_body`, what the fields other than the entries' data take at most.
 constexpr std::size_t append_overhead = 80;
 constexpr std::size_t entry_overhead = 32;
@@ -76,6 +76,8 @@
     reply.follower = self();
     reply.round = m.round;
     if (m.term < hard_.term || (m.term == hard_.term && role_ == role::leader)) {
+        // The round belongs to another term. A later leader at the same address must not count it as its own.
+        reply.round = 0;
         reply.term = hard_.term;
         send(from, reply, out);
         return;
--- a/src/libperidotcleat/version/replica_snapshot.cpp
+++ b/src/libperidotcleat/version/replica_snapshot.cpp
@@ -66,6 +66,8 @@
     reply.last_index = m.last_index;
     reply.round = m.round;
     if (m.term < hard_.term || (m.term == hard_.term && role_ == role::leader)) {
+        // The round belongs to another term. A later leader at the same address must not count it as its own.
+        reply.round = 0;
         reply.term = hard_.term;
         send(from, reply, out);
         return;
