Let a learner of an uncommitted member list ask to join again

It now asks until a committed list names it. A folder that was a voter once still stays away if its name was removed, also after a restart. The randomised test gets a fault in which one member loses sight of the leader only.

--- a/src/include/peridotcleat/replica_log.h
+++ b/src/include/peridotcleat/replica_log.h
@@ -55,6 +55,8 @@
     [[nodiscard]] std::int64_t members_index() const noexcept;
     /// Member list in force at `index`.
     [[nodiscard]] const wire::member_list& members_at(std::int64_t index) const;
+    /// Returns true if any member list that is still held names `folder` as a voter.
+    [[nodiscard]] bool was_voter(std::int64_t folder) const;
 
 private:
     std::optional<stored_snapshot> snapshot_;
--- a/src/libperidotcleat/version/replica_log.cpp
+++ b/src/libperidotcleat/version/replica_log.cpp
@@ -1,6 +1,8 @@
 #include "peridotcleat/replica_log.h"
 
+#include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -104,4 +106,13 @@
     return it == members_.begin() ? none : std::prev(it)->second;
 }
 
+bool replica_log::was_voter(std::int64_t folder) const
+{
+    return std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
+        const auto& list = entry.second.members;
+        return std::any_of(list.begin(), list.end(),
+                           [&](const wire::member& m) { return m.voter && m.folder_id == folder; });
+    });
+}
+
 }  // namespace peridotcleat::pvt
--- a/src/libperidotcleat/version/replica_members.cpp
+++ b/src/libperidotcleat/version/replica_members.cpp
@@ -35,7 +35,8 @@
 
 void replica_core::ask_to_join(time_point now, outbox& out)
 {
-    const bool listed = member(self()) != nullptr;
+    // A list that is not committed may be one that the present leader does not have.
+    const bool listed = holds(log_.members_at(commit_), self());
     const bool silent = now - leader_heard_.value_or(opened_at_) >= silence_before_rejoin;
     if (now < join_due_ || (listed && !silent)) {
         return;
@@ -48,7 +49,7 @@
     r.candidate.voter = false;
     // A folder that was a member once is taken back only in place of another one of its name; it stays away
     // if its name was removed.
-    r.replaces = holds(log_.members_at(commit_), self()) ? self() : 0;
+    r.replaces = listed || log_.was_voter(self()) ? self() : 0;
     for (const endpoint& peer : settings_.peers) {
         if (peer != settings_.address) {
             send(peer, r, out);
--- a/src/libperidotcleat/version/replica_test.cpp
+++ b/src/libperidotcleat/version/replica_test.cpp
@@ -42,6 +42,7 @@
     partition_leader,
     lose_disks_in_turn,
     remove_member,
+    cut_from_leader,
     count
 };
 
@@ -150,6 +151,7 @@
         case fault::cut_one_way: group_.net.cut(h.at, any().at, true); break;
         case fault::lose_disks_in_turn: lose_disks_in_turn(); break;
         case fault::remove_member: remove_member(h); break;
+        case fault::cut_from_leader: cut_from_leader(); break;
         case fault::partition: isolate(h); break;
         case fault::partition_leader: isolate(leader_or_any()); break;
         case fault::count: break;
@@ -185,6 +187,22 @@
         }
     }
 
+    // One member loses sight of the leader only, and asks others that hear the leader, or have just restarted
+    // after they heard it, for their votes.
+    void cut_from_leader()
+    {
+        const auto& l = leader_or_any();
+        const auto& blind = any();
+        group_.net.cut_groups({l.at}, {blind.at}, true);
+        run_quietly(std::chrono::milliseconds(2000 + below(2000)));
+        for (auto& h : group_.hosts) {
+            if (&h != &l && &h != &blind && chance(2)) {
+                group_.kill(h, chance(2));
+                group_.start(h);
+            }
+        }
+    }
+
     bool all_are_voters()
     {
         replica_group::host* l = group_.leader();
