--- a/src/testing/replica_checker.h
+++ b/src/testing/replica_checker.h
@@ -93,6 +93,38 @@
                 "an entry counts as committed that no quorum holds", index);
     }
 
+    /// A process sends `m`; `durable` is what its disk holds for certain.
+    static void on_sent(const stored_state& durable, const message& m)
+    {
+        const std::int64_t term = durable.hard.term;
+        if (const auto* vote = std::get_if<wire::vote_reply>(&m); vote != nullptr && !vote->pre_vote) {
+            require(!vote->granted || term > vote->term ||
+                        (term == vote->term && durable.hard.voted_for.value == vote->candidate),
+                    "a vote was sent before it was durable", vote->term);
+        } else if (const auto* request = std::get_if<wire::vote_request>(&m)) {
+            require(request->term <= term + (request->pre_vote ? 1 : 0),
+                    "a term was sent before it was durable", request->term);
+        } else if (const auto* reply = std::get_if<wire::append_reply>(&m)) {
+            require(reply->term <= term, "a term was sent before it was durable", reply->term);
+            require(!reply->success || term > reply->term || last_index(durable) >= reply->match,
+                    "an entry was acknowledged before it was durable", reply->match);
+        }
+    }
+
+    /// A leader that knows of commits up to `commit` counts on `members`. `find` gives the disk of a folder.
+    template <class Find>
+    void on_voters(std::int64_t commit, const std::vector<wire::member>& members, Find find)
+    {
+        for (const wire::member& m : members) {
+            // The founders become voters with an empty log.
+            if (m.voter && voters_.insert(m.folder_id).second && commit > 0) {
+                const fake_disk_content* disk = find(m.folder_id);
+                require(disk == nullptr || last_index(disk->durable()) >= commit,
+                        "a voter was made that does not hold the log", m.folder_id);
+            }
+        }
+    }
+
     /// Number of processes that accept changes at this moment.
     static void on_accepting(int leaders)
     {
@@ -159,6 +191,7 @@
     std::map<std::int64_t, std::int64_t> leaders_;
     std::map<std::pair<std::int64_t, std::int64_t>, std::set<std::int64_t>> votes_;
     std::set<std::int64_t> emptied_;
+    std::set<std::int64_t> voters_;
 };
 
 }  // namespace peridotcleat::testing
--- a/src/testing/replica_group.h
+++ b/src/testing/replica_group.h
@@ -218,12 +218,15 @@
         replica<fake_disk>& r = *h.process;
         if (flush) {
             flush_and_wait(h, now, out);
+        } else {
+            check_sent(h, out);
         }
-        check_sizes(out);
         checker.on_term(h.disk->folder(), h.disk->durable().hard.term);
         if (r.is_leader()) {
             formed_ = formed_ || all_are_voters(h);
             checker.on_leader(r.term(), h.disk->current(), r.members());
+            checker.on_voters(r.commit_index(), r.members(),
+                              [&](std::int64_t folder) { return find(folder); });
             if (r.commit_index() > h.checked_commit && h.checked_commit > 0) {
                 checker.on_leader_commit(r.commit_index(), r.term(), r.members(),
                                          [&](std::int64_t folder) { return find(folder); });
@@ -240,9 +243,10 @@
     }
 
     // Only an append of a single entry may exceed the size of a control message.
-    static void check_sizes(const outbox& out)
+    static void check_sent(const host& h, const outbox& out)
     {
         for (const send_action& s : out.sends) {
+            replica_checker::on_sent(h.disk->durable(), s.body);
             const auto* append = std::get_if<wire::append_request>(&s.body);
             const bool bounded = append != nullptr ? append->entries.size() > 1
                                                    : std::holds_alternative<wire::snapshot_chunk>(s.body);
@@ -258,6 +262,7 @@
     void flush_and_wait(host& h, time_point now, outbox& out)
     {
         (void)h.process->flush(now, out);
+        check_sent(h, out);
         const auto delay = h.disk->take_delay();
         if (delay.count() == 0) {
             return;
