Route to draining targets while no target is active

While all targets of a service drain, balancers had no owner to send to, so open flows of the last target that drains would have broken. Its buckets now go to the draining targets by the same hash; they deliver open flows and refuse new ones. all_draining tells agents so.

The largest page that fits a pull_reply is a constant now, with a test that uses the largest numbers. Records of patches name their operations.

--- a/src/include/peridotcleat/balancer.h
+++ b/src/include/peridotcleat/balancer.h
@@ -20,7 +20,8 @@
 };
 
 /// Returns the route of a packet, or the reason to drop it: `ok`, `wrong_service` (no service has the
-/// address) or `no_target`. Allocates nothing; any number of threads may share `table`.
+/// address) or `no_target` (the service has none). Allocates nothing; any number of threads may share
+/// `table`.
 error_code route(const route_table& table, const flow_key& key, route_decision& decision) noexcept;
 
 /// Settings of a balancer.
--- a/src/include/peridotcleat/route_table.h
+++ b/src/include/peridotcleat/route_table.h
@@ -25,10 +25,14 @@
     service_id service;
     /// All targets in order of incarnation, draining ones included.
     std::vector<route_target> targets;
-    /// Index into `targets` of each bucket's owner; valid if `has_owner`.
+    /// Index into `targets` of each bucket's owner; valid if `has_owner`. Owners are active; only while all
+    /// targets drain they are draining ones, so that open flows are still delivered. Such an owner refuses
+    /// new flows.
     std::array<std::uint16_t, bucket_count> owners{};
-    /// False if no target is active.
+    /// False if there is no target.
     bool has_owner = false;
+    /// True if there are targets and all of them drain.
+    bool all_draining = false;
     /// Addresses of the service.
     std::vector<endpoint> addresses;
     /// Digest over id, addresses, targets and owners.
--- a/src/include/peridotcleat/table_state.h
+++ b/src/include/peridotcleat/table_state.h
@@ -94,6 +94,8 @@
     static constexpr std::size_t max_services = 4096;
     static constexpr std::size_t max_targets = 20'000;
     static constexpr std::size_t max_nodes = 2000;
+    /// Size of a page that fits a pull_reply of `max_control_body`, its header included.
+    static constexpr std::size_t max_page = max_control_body - 40;
     /// Most operations of a patch; more are refused with `patch_too_large`.
     static constexpr std::size_t max_operations = 256;
 
--- a/src/libperidotcleat/version/route_table.cpp
+++ b/src/libperidotcleat/version/route_table.cpp
@@ -48,15 +48,16 @@
     return combine(address_key(t.agent), salt);
 }
 
-// Finds the active target with the lowest score per weight for `hash`; `skip` is left out.
+// Finds the target with the lowest score per weight for `hash` among those that drain or not, as told; `skip`
+// is left out.
 std::optional<std::size_t> best_target(const std::vector<route_target>& targets, std::uint64_t hash,
-                                       std::uint64_t salt, incarnation skip) noexcept
+                                       std::uint64_t salt, bool draining, incarnation skip) noexcept
 {
     std::optional<std::size_t> best;
     std::uint64_t best_score = 0;
     for (std::size_t i = 0; i < targets.size(); ++i) {
         const route_target& t = targets[i];
-        if (t.draining || t.id == skip) {
+        if (t.draining != draining || t.id == skip) {
             continue;
         }
         const std::uint64_t score = rendezvous_score(combine(hash, target_hash(t, salt)));
@@ -88,13 +89,11 @@
 
 void assign_owners(service_routes& r)
 {
-    for (std::size_t bucket = 0; bucket < bucket_count; ++bucket) {
-        const auto best = best_target(r.targets, mix(bucket + 1), bucket_salt, incarnation{});
-        r.has_owner = best.has_value();
-        if (!best) {
-            return;
-        }
-        r.owners[bucket] = static_cast<std::uint16_t>(*best);
+    r.has_owner = !r.targets.empty();
+    r.all_draining = r.has_owner && std::ranges::all_of(r.targets, &route_target::draining);
+    for (std::size_t bucket = 0; r.has_owner && bucket < bucket_count; ++bucket) {
+        const auto best = best_target(r.targets, mix(bucket + 1), bucket_salt, r.all_draining, incarnation{});
+        r.owners[bucket] = static_cast<std::uint16_t>(best.value_or(0));
     }
 }
 
@@ -141,7 +140,7 @@
 std::optional<std::size_t> service_routes::second_candidate(std::uint64_t flow_hash,
                                                             incarnation owner) const noexcept
 {
-    return best_target(targets, flow_hash, second_salt, owner);
+    return best_target(targets, flow_hash, second_salt, false, owner);
 }
 
 std::shared_ptr<const route_table> route_table::build(const table_state& table)
--- a/src/libperidotcleat/version/table_patch.cpp
+++ b/src/libperidotcleat/version/table_patch.cpp
@@ -14,18 +14,32 @@
 
 enum class operation_kind : std::int8_t { add = 1, change = 2, remove = 3 };
 
-std::string operation_path(std::size_t index, std::int8_t kind)
+std::string operation_name(std::int8_t kind)
 {
     static constexpr std::array names{"add", "change", "remove"};
-    std::string path = "operations[" + std::to_string(index) + "]";
-    if (kind >= 1 && kind <= 3) {
-        path += std::string(".") + names.at(static_cast<std::size_t>(kind - 1));
-    }
-    return path;
+    return kind >= 1 && kind <= 3 ? names.at(static_cast<std::size_t>(kind - 1)) : "unknown";
+}
+
+std::string operation_path(std::size_t index, std::int8_t kind)
+{
+    return "operations[" + std::to_string(index) + "]." + operation_name(kind);
 }
 
 std::uint64_t content_digest(const wire::patch& patch) { return hash_bytes(encode_struct(patch)); }
 
+// Names the first operations of a patch, for the history that operators see.
+std::string summary_of(const wire::patch& patch)
+{
+    constexpr std::size_t named = 3;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(named, patch.operations.size()); ++i) {
+        const wire::patch_operation& op = patch.operations[i];
+        text += (i == 0 ? "" : "; ") + operation_name(op.kind) + ' ' + op.name;
+    }
+    const std::size_t more = patch.operations.size() - std::min(named, patch.operations.size());
+    return more == 0 ? text : text + "; " + std::to_string(more) + " more";
+}
+
 patch_answer refusal(patch_status status, error_code code, std::string message)
 {
     patch_answer a;
@@ -364,7 +378,7 @@
     record.revision = at.value;
     record.digest = static_cast<std::int64_t>(content_digest(patch));
     record.__set_time_ms(now.time_since_epoch().count());
-    record.__set_summary(std::to_string(patch.operations.size()) + " operations");
+    record.__set_summary(summary_of(patch));
     by_patch_id_[patch.patch_id] = version_;
     patches_.emplace(version_, std::move(record));
     while (patches_.size() > max_patch_records) {
--- a/src/libperidotcleat/version/table_state_test.cpp
+++ b/src/libperidotcleat/version/table_state_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <set>
 #include <utility>
@@ -334,6 +335,7 @@
 TEST(table_state, pages_hold_each_newer_object_once_in_order)
 {
     table_state table;
+    table.skip_to(revision{std::numeric_limits<std::int64_t>::max() - 1000});
     change_source source(5);
     for (int i = 0; i < 400; ++i) {
         table.apply(next_revision(table), source.next(table));
@@ -353,6 +355,18 @@
     }
     EXPECT_EQ(seen, objects);
     EXPECT_EQ(position.revision, table.current_revision().value);
+    // With the largest numbers in it, a page still fits, and so does the message around it.
+    const auto first = table.delta({}, true, 200);
+    for (std::size_t limit = 200; limit <= table_state::max_page; ++limit) {
+        wire::pull_reply reply;
+        reply.nonce = std::numeric_limits<std::int64_t>::min();
+        reply.age_ms = std::numeric_limits<std::int32_t>::min();
+        reply.page = table.delta(first.position, true, limit);
+        EXPECT_FALSE(reply.page.complete);
+        EXPECT_LE(encode_struct(reply.page).size(), limit);
+        EXPECT_LE(encode(cluster_id{reply.nonce}, reply).size(),
+                  limit + max_control_body - table_state::max_page);
+    }
 }
 
 // Guards against snapshots whose contradictions get into a table.
