Limit a relay's children and traffic, and measure the spread of changes

A balancer now tells children beyond nine to try another parent (new optional field `crowded` in pull_reply), and holds objects back while its last second is full; notices are sent only from what is left then. Lowering the pull rate was ruled out because leases depend on it. A pull without a reply is sent again after 400 ms, so that one lost datagram does not cost a second.

--- /dev/null
+++ b/src/bench/bench_control.cpp
@@ -0,0 +1,301 @@
+#include <malloc.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "testing/control_cluster.h"
+
+namespace peridotcleat {
+
+void bench_control(std::uint64_t seed);
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::cluster_shape;
+using testing::control_cluster;
+using testing::control_host;
+using testing::link_quality;
+using testing::node_host;
+
+void print(const std::string& name, double value, const char* unit, double bound, double baseline,
+           std::uint64_t seed)
+{
+    const bool pass = bound <= 0 || value <= bound;
+    std::cout << "name=" << name << " value=" << value << " unit=" << unit << " bound=" << bound
+              << " baseline=" << baseline << " seed=" << seed << " verdict=" << (pass ? "pass" : "fail")
+              << '\n';
+}
+
+// Zones 5 ms apart with jitter and 2 % loss, as the users' networks have them.
+void set_users_network(control_cluster& cluster)
+{
+    cluster.net().set_quality([&cluster](const endpoint& a, const endpoint& b) {
+        const bool near = cluster.zone_of(a) == cluster.zone_of(b);
+        return link_quality{near ? std::chrono::microseconds(300) : std::chrono::microseconds(5000),
+                            std::chrono::microseconds(near ? 200 : 2000), 0.02, 0};
+    });
+}
+
+wire::patch service_patch(std::int64_t number, std::int64_t base, const std::string& name, std::int8_t kind,
+                          std::size_t service)
+{
+    wire::patch_operation op;
+    op.kind = kind;
+    op.name = name;
+    wire::service_entry value;
+    value.name = name;
+    value.addresses.push_back(to_wire(endpoint{0x0a000000U + static_cast<std::uint32_t>(service) + 1, 80}));
+    value.__set_idle_timeout_ms(static_cast<std::int32_t>(1000 + (number % 100000)));
+    op.__set_value(value);
+    wire::patch p;
+    p.patch_id = "bench-" + std::to_string(number);
+    p.base = base;
+    p.operations.push_back(op);
+    return p;
+}
+
+// Follows each accepted patch until the last node has it in its table.
+class spread_meter {
+public:
+    explicit spread_meter(control_cluster& cluster) : cluster_(cluster)
+    {
+        for (auto& n : cluster.nodes()) {
+            n->observe = [this](node_host& host) { observe(host); };
+        }
+    }
+
+    void accepted(revision at)
+    {
+        std::size_t missing = 0;
+        for (const auto& n : cluster_.nodes()) {
+            missing += n->link->table().current_revision() < at ? 1 : 0;
+        }
+        if (missing == 0) {
+            delays_.push_back(0);
+            return;
+        }
+        open_.push_back({at, cluster_.net().now(), missing});
+    }
+    [[nodiscard]] bool settled() const { return open_.empty(); }
+    /// Seconds from the acceptance to the last node, in order of size.
+    std::vector<double> delays()
+    {
+        std::ranges::sort(delays_);
+        return delays_;
+    }
+
+private:
+    struct open_patch {
+        revision at;
+        time_point when;
+        std::size_t missing = 0;
+    };
+
+    void observe(const node_host& n)
+    {
+        revision& before = seen_[n.at];
+        const revision now = n.link->table().current_revision();
+        if (now == before) {
+            return;
+        }
+        for (open_patch& p : open_) {
+            if (before < p.at && p.at <= now && --p.missing == 0) {
+                delays_.push_back(std::chrono::duration<double>(cluster_.net().now() - p.when).count());
+            }
+        }
+        std::erase_if(open_, [](const open_patch& p) { return p.missing == 0; });
+        before = now;
+    }
+
+    control_cluster& cluster_;
+    std::deque<open_patch> open_;
+    std::map<endpoint, revision> seen_;
+    std::vector<double> delays_;
+};
+
+// One operator that submits a patch and follows it until it is accepted.
+class bench_operator {
+public:
+    explicit bench_operator(control_cluster& cluster) : cluster_(cluster)
+    {
+        cluster.on_control_event = [this](control_host& c) {
+            for (const operator_answer& a : c.role->take_answers()) {
+                if (a.id == waiting_ && a.patch.status == patch_status::accepted) {
+                    answer_ = a.patch;
+                }
+            }
+        };
+    }
+
+    /// Returns the revision of the accepted patch, or none if it was refused or took more than 10 s.
+    revision submit(const std::string& name, std::int8_t kind, std::size_t service)
+    {
+        control_host* leader = cluster_.leader();
+        if (leader == nullptr) {
+            return {};
+        }
+        answer_ = {};
+        const auto p = service_patch(++number_, leader->role->table().version().value, name, kind, service);
+        waiting_ = leader->role->submit_patch(cluster_.net().now(), cluster_.wall(), p, true);
+        cluster_.settle(*leader);
+        for (int i = 0; i < 1000 && !answer_.at.valid(); ++i) {
+            cluster_.net().run_for(milliseconds(10));
+        }
+        return answer_.at;
+    }
+
+private:
+    control_cluster& cluster_;
+    ticket waiting_;
+    patch_answer answer_;
+    std::int64_t number_ = 0;
+};
+
+bool all_ready(control_cluster& cluster)
+{
+    return std::ranges::all_of(cluster.nodes(), [](const auto& n) { return n->link->ready(); });
+}
+
+// Starts everything, adds the services and waits until all nodes are ready.
+bool warm_up(control_cluster& cluster, bench_operator& op)
+{
+    set_users_network(cluster);
+    cluster.start_all();
+    cluster.net().run_for(seconds(8));
+    for (std::size_t i = 0; i < cluster.shape().services; ++i) {
+        if (!op.submit(control_cluster::service_name(i), 1, i).valid()) {
+            return false;
+        }
+    }
+    for (int i = 0; i < 120 && !all_ready(cluster); ++i) {
+        cluster.net().run_for(seconds(1));
+    }
+    cluster.net().run_for(seconds(5));
+    return all_ready(cluster);
+}
+
+std::uint64_t bytes_of(control_cluster& cluster, const endpoint& at)
+{
+    const auto& t = cluster.net().traffic_of(at);
+    return t.bytes_in + t.bytes_out;
+}
+
+std::uint64_t messages_of(control_cluster& cluster, const endpoint& at)
+{
+    const auto& t = cluster.net().traffic_of(at);
+    return t.messages_in + t.messages_out;
+}
+
+// Bytes of each node in each whole second, sent and received.
+class traffic_meter {
+public:
+    explicit traffic_meter(control_cluster& cluster) : cluster_(cluster)
+    {
+        sample(false);
+        schedule();
+    }
+
+    void sample(bool counts = true)
+    {
+        for (const auto& n : cluster_.nodes()) {
+            const std::uint64_t total = bytes_of(cluster_, n->at);
+            const auto used = static_cast<double>(total - last_[n->at]);
+            last_[n->at] = total;
+            if (counts) {
+                sum_ += used;
+                ++samples_;
+                busiest_ = std::max(busiest_, used);
+                double& mean = by_node_[n->at];
+                mean += used;
+            }
+        }
+        seconds_ += counts ? 1 : 0;
+    }
+    [[nodiscard]] double mean() const { return samples_ == 0 ? 0 : sum_ / samples_; }
+    [[nodiscard]] double busiest() const { return busiest_; }
+    /// Mean of the node with the most traffic.
+    [[nodiscard]] double highest_mean() const
+    {
+        double highest = 0;
+        for (const auto& [at, sum] : by_node_) {
+            highest = std::max(highest, sum / seconds_);
+        }
+        return highest;
+    }
+
+private:
+    void schedule()
+    {
+        cluster_.net().at(cluster_.net().now() + seconds(1), [this] {
+            sample();
+            schedule();
+        });
+    }
+
+    control_cluster& cluster_;
+    std::map<endpoint, std::uint64_t> last_;
+    std::map<endpoint, double> by_node_;
+    double sum_ = 0;
+    double samples_ = 0;
+    double busiest_ = 0;
+    double seconds_ = 0;
+};
+
+void bench_spread(std::uint64_t seed)
+{
+    constexpr std::size_t patches = 500;
+    cluster_shape shape;
+    shape.controls = 7;
+    shape.balancers = 30;
+    shape.agents = 200;
+    shape.services = 20;
+    shape.zones = 3;
+    control_cluster cluster(seed, shape);
+    bench_operator op(cluster);
+    if (!warm_up(cluster, op)) {
+        print("control_warm_up_failed", 1, "count", 0.5, 0, seed);
+        return;
+    }
+    spread_meter spread(cluster);
+    traffic_meter traffic(cluster);
+    std::size_t refused = 0;
+    for (std::size_t i = 0; i < patches; ++i) {
+        const time_point next = cluster.net().now() + seconds(2);
+        const std::size_t service = i % shape.services;
+        const revision at = op.submit(control_cluster::service_name(service), 2, service);
+        refused += at.valid() ? 0 : 1;
+        if (at.valid()) {
+            spread.accepted(at);
+        }
+        cluster.net().run_until(next);
+    }
+    for (int i = 0; i < 30 && !spread.settled(); ++i) {
+        cluster.net().run_for(seconds(1));
+    }
+    const auto delays = spread.delays();
+    print("control_patches_not_accepted", static_cast<double>(refused), "count", 0.5, 0, seed);
+    print("control_patches_not_spread", static_cast<double>(patches - refused - delays.size()), "count", 0.5,
+          0, seed);
+    print("control_in_force_max", delays.empty() ? 99 : delays.back(), "s", 14, 0, seed);
+    print("control_in_force_median", delays.empty() ? 99 : delays[delays.size() / 2], "s", 14, 0, seed);
+    print("control_bytes_mean", traffic.mean(), "B/s", 3000, 0, seed);
+    print("control_bytes_mean_highest_node", traffic.highest_mean(), "B/s", 3000, 0, seed);
+    print("control_bytes_busiest_second", traffic.busiest(), "B/s", 3000, 0, seed);
+}
+
+}  // namespace
+
+void bench_control(std::uint64_t seed) { bench_spread(seed); }
+
+}  // namespace peridotcleat
--- a/src/include/peridotcleat/control.h
+++ b/src/include/peridotcleat/control.h
@@ -178,8 +178,8 @@
     static constexpr std::chrono::milliseconds expiry_interval{200};
 
     control(control_settings settings, replica<Storage> opened, counters& counted)
-        : settings_(std::move(settings)), counted_(&counted), replica_(std::move(opened)), relay_(counted),
-          membership_(settings_.membership, counted),
+        : settings_(std::move(settings)), counted_(&counted), replica_(std::move(opened)),
+          relay_({}, counted), membership_(settings_.membership, counted),
           relay_nonce_(static_cast<std::int64_t>(combine(settings_.replica.seed, 1) >> 24U))
     {
     }
--- a/src/include/peridotcleat/node_link.h
+++ b/src/include/peridotcleat/node_link.h
@@ -90,6 +90,8 @@
         time_point good;
         /// Earliest pull that has not been answered.
         std::optional<time_point> unanswered;
+        /// It asked this node to find another parent.
+        bool crowded = false;
     };
 
     node_link(node_link_settings settings, counters& counted);
@@ -124,6 +126,7 @@
     time_point next_pull_;
     time_point last_pull_;
     time_point next_return_;
+    time_point next_move_;
     time_point next_announce_;
     /// The table held the parent's whole state at this time.
     std::optional<time_point> complete_as_of_;
--- a/src/include/peridotcleat/relay.h
+++ b/src/include/peridotcleat/relay.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -12,6 +14,19 @@
 
 namespace peridotcleat {
 
+/// Limits of a relay's traffic. Zero means no limit.
+struct relay_limits {
+    /// Children beyond this number are asked to find another parent.
+    std::size_t children = 0;
+    /// Bytes sent and received in a second; objects and notices wait while this is exceeded. Pulls of nodes
+    /// that have no table yet are not limited.
+    std::size_t bytes_per_second = 0;
+
+    /// Limits of a balancer, for 3,000 bytes of control traffic a second. There are 7.6 agents for a
+    /// balancer.
+    static constexpr relay_limits of_balancer() { return {9, 2600}; }
+};
+
 /// A child of a relay or control process as last heard.
 struct child_state {
     incarnation id;
@@ -20,6 +35,10 @@
     time_point heard;
     /// Revision of the last change_notice that was sent to the child.
     revision notified;
+    /// Since when it has pulled without a pause.
+    time_point since;
+    /// Number of replies in a row that held objects back.
+    std::uint32_t held_back = 0;
 };
 
 /// A node somewhere below a relay, as far as the relay knows.
@@ -41,7 +60,7 @@
     static constexpr std::chrono::milliseconds forget_limit{12000};
 
     /// Creates a relay that knows no node yet and counts its events in `counted`.
-    explicit relay(counters& counted);
+    relay(relay_limits limits, counters& counted);
 
     /// Answers pull_request. `age` is the age of `table`.
     void on_pull(time_point now, const endpoint& from, const wire::pull_request& request,
@@ -100,7 +119,12 @@
         time_point asked;
     };
 
-    void note_child(time_point now, const endpoint& from, const wire::pull_request& request);
+    child_state* note_child(time_point now, const endpoint& from, const wire::pull_request& request);
+    [[nodiscard]] bool crowded_for(time_point now, const child_state& child) const;
+    bool hold_back(time_point now, child_state* child, std::size_t bytes);
+    /// Bytes of the last second.
+    std::size_t recent_bytes(time_point now);
+    void count_bytes(time_point now, std::size_t bytes);
     void take_children(time_point now, const wire::relay_report& report, const lower_relay& from);
     void forget_sightings(std::uint32_t via);
     void forget_silent(time_point now);
@@ -109,7 +133,16 @@
     [[nodiscard]] time_point heard_at(const sighting& s) const;
     [[nodiscard]] heard_node summary(const node_record& record) const;
 
+    struct used_bytes {
+        time_point when;
+        std::size_t bytes = 0;
+    };
+
     counters* counted_;
+    relay_limits limits_;
+    // Traffic of the last second, oldest first, and its sum.
+    std::deque<used_bytes> used_;
+    std::size_t used_sum_ = 0;
     std::vector<child_state> children_;
     std::map<incarnation, node_record> nodes_;
     std::map<endpoint, lower_relay> lower_;
--- a/src/libperidotcleat/version/node_link.cpp
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -17,6 +17,10 @@
 // How often a node that was driven from its preferred parent tries it again, so that relays that were
 // restarted get their children back.
 constexpr milliseconds return_interval{30000};
+// How often a node whose parent has too many children tries another one.
+constexpr milliseconds move_interval{2500};
+// A pull without a reply for this long is sent again, so that one lost datagram does not cost a second.
+constexpr milliseconds reply_timeout{400};
 constexpr milliseconds announce_interval{1000};
 constexpr milliseconds unknown_age{3600000};
 // 40 bits take 6 bytes in each pull; a repeat within one name is as good as impossible.
@@ -50,7 +54,7 @@
       random_(combine(settings_.seed, hash_bytes(settings_.name))), nonce_(draw_nonce(random_))
 {
     for (const endpoint& address : settings_.parents) {
-        parents_.push_back({address, {}, {}, {}});
+        parents_.push_back({address, {}, {}, {}, false});
     }
     std::ranges::sort(parents_, [this](const parent_state& a, const parent_state& b) {
         return std::pair(preference(settings_.name, a.address), a.address) >
@@ -99,7 +103,13 @@
         next_return_ = now + return_interval;
         parents_[current_].good = now;
     }
-    if (now >= next_pull_) {
+    const parent_state& current = parents_[current_];
+    const bool lost = current.unanswered && now - last_pull_ >= reply_timeout &&
+                      now - *current.unanswered < settings_.pull_interval;
+    if (lost) {
+        pull(now, current_, out);
+        next_pull_ = now + jittered(settings_.pull_interval);
+    } else if (now >= next_pull_) {
         pull(now, current_, out);
         probe(now, out);
         next_pull_ = now + jittered(settings_.pull_interval);
@@ -117,7 +127,9 @@
     if (parents_.size() < 2) {
         return;
     }
-    if (now - parents_[current_].good > settings_.pull_interval * 3 / 2) {
+    const bool move = parents_[current_].crowded && now >= next_move_;
+    if (move || now - parents_[current_].good > settings_.pull_interval * 3 / 2) {
+        next_move_ = now + jittered(move_interval);
         do {
             next_probe_ = (next_probe_ + 1) % parents_.size();
         } while (next_probe_ == current_);
@@ -155,6 +167,7 @@
     const time_point as_of = *it->unanswered - milliseconds(reply.age_ms);
     it->unanswered.reset();
     it->fresh_as_of = std::max(it->fresh_as_of, as_of);
+    it->crowded = reply.__isset.crowded && reply.crowded;
     const bool behind = revision{reply.page.revision} < table().current_revision();
     if (!behind && milliseconds(reply.age_ms) <= settings_.parent_timeout) {
         it->good = now;
@@ -191,8 +204,9 @@
     const bool other_good = other.good == now;
     const bool current_late = now - current.good > settings_.parent_timeout;
     const bool fresher = other.fresh_as_of > current.fresh_as_of + settings_.pull_interval;
-    const bool preferred = index == 0 && other_good;
-    if (preferred || (current_late && (other_good || fresher))) {
+    const bool preferred = index == 0 && other_good && !other.crowded;
+    const bool roomier = current.crowded && other_good && !other.crowded;
+    if (preferred || roomier || (current_late && (other_good || fresher))) {
         current_ = index;
         next_return_ = now + jittered(return_interval);
         counted_->add(event::parent_changes);
--- a/src/libperidotcleat/version/relay.cpp
+++ b/src/libperidotcleat/version/relay.cpp
@@ -26,14 +26,33 @@
 // A child_report takes up to 24 bytes.
 constexpr std::size_t max_children_per_report = 45;
 
+// Estimated sizes on the wire, headers of IP and UDP included: a pull and its reply without objects, a notice
+// with the pull that follows it, and a small change in a reply.
+constexpr std::size_t pull_bytes = 170;
+constexpr std::size_t notice_bytes = 210;
+constexpr std::size_t small_change_bytes = 100;
+constexpr std::size_t report_bytes = 140;
+constexpr std::size_t child_report_bytes = 12;
+constexpr milliseconds byte_window{1000};
+// A child is given objects after this many replies without, however short bandwidth is.
+constexpr std::uint32_t max_held_back = 4;
+// A child that pauses for longer has another parent meanwhile.
+constexpr milliseconds child_pause{2500};
+
+bool has_objects(const wire::table_page& page)
+{
+    return !page.services.empty() || !page.targets.empty() || !page.nodes.empty() || !page.tombstones.empty();
+}
+
 }  // namespace
 
-relay::relay(counters& counted) : counted_(&counted) {}
+relay::relay(relay_limits limits, counters& counted) : counted_(&counted), limits_(limits) {}
 
 void relay::on_pull(time_point now, const endpoint& from, const wire::pull_request& request,
                     const table_state& table, milliseconds age, outbox& out)
 {
-    note_child(now, from, request);
+    child_state* child = note_child(now, from, request);
+    count_bytes(now, pull_bytes);
     wire::cursor position = request.position;
     bool full = request.full;
     if (revision{request.revision} == table.current_revision() &&
@@ -46,6 +65,24 @@
     reply.nonce = request.nonce;
     reply.age_ms = static_cast<std::int32_t>(std::clamp(age, milliseconds(0), max_age).count());
     reply.page = table.delta(position, full, max_control_body - page_overhead);
+    if (child != nullptr && crowded_for(now, *child)) {
+        reply.__set_crowded(true);
+    }
+    if (limits_.bytes_per_second != 0 && has_objects(reply.page)) {
+        const std::size_t bytes = encode_struct(reply.page).size();
+        if (request.revision != 0 && hold_back(now, child, bytes)) {
+            // The same place again, without the objects: the child asks for them with its next pull.
+            wire::table_page empty;
+            empty.revision = reply.page.revision;
+            empty.config_version = reply.page.config_version;
+            empty.full = reply.page.full;
+            empty.start = reply.page.start;
+            empty.position = reply.page.start;
+            reply.page = std::move(empty);
+        } else {
+            count_bytes(now, bytes);
+        }
+    }
     counted_->add(event::pages_sent);
     if (reply.page.full && reply.page.complete) {
         counted_->add(event::full_tables_sent);
@@ -53,7 +90,52 @@
     out.send(from, std::move(reply));
 }
 
-void relay::note_child(time_point now, const endpoint& from, const wire::pull_request& request)
+bool relay::crowded_for(time_point now, const child_state& child) const
+{
+    if (limits_.children == 0 || children_.size() <= limits_.children) {
+        return false;
+    }
+    const auto before = std::ranges::count_if(children_, [&](const child_state& other) {
+        return now - other.heard <= child_pause &&
+               std::pair(other.since, other.id) < std::pair(child.since, child.id);
+    });
+    return static_cast<std::size_t>(before) >= limits_.children;
+}
+
+// Returns true if objects of `bytes` have to wait for a later pull.
+bool relay::hold_back(time_point now, child_state* child, std::size_t bytes)
+{
+    const bool fits = recent_bytes(now) + bytes <= limits_.bytes_per_second;
+    if (fits || child == nullptr || child->held_back >= max_held_back) {
+        if (child != nullptr) {
+            child->held_back = 0;
+        }
+        return false;
+    }
+    ++child->held_back;
+    return true;
+}
+
+std::size_t relay::recent_bytes(time_point now)
+{
+    while (!used_.empty() && now - used_.front().when >= byte_window) {
+        used_sum_ -= used_.front().bytes;
+        used_.pop_front();
+    }
+    return used_sum_;
+}
+
+void relay::count_bytes(time_point now, std::size_t bytes)
+{
+    if (limits_.bytes_per_second == 0) {
+        return;
+    }
+    (void)recent_bytes(now);
+    used_.push_back({now, bytes});
+    used_sum_ += bytes;
+}
+
+child_state* relay::note_child(time_point now, const endpoint& from, const wire::pull_request& request)
 {
     if (const auto it = lower_.find(from); it != lower_.end()) {
         it->second.heard = now;
@@ -61,13 +143,16 @@
     }
     const incarnation id{request.node};
     if (!id.valid()) {
-        return;
+        return nullptr;
     }
     auto child = std::ranges::lower_bound(children_, id, {}, &child_state::id);
     if (child == children_.end() || child->id != id) {
-        child = children_.insert(child, {id, from, {}, now, {}});
+        child = children_.insert(child, {id, from, {}, now, {}, now, 0});
         urgent_ = true;
     }
+    if (now - child->heard > child_pause) {
+        child->since = now;
+    }
     child->address = from;
     child->heard = now;
     child->confirmed = std::max(child->confirmed, revision{request.revision});
@@ -80,15 +165,26 @@
         own->confirmed = child->confirmed;
         own->heard = now;
     }
+    return &*child;
 }
 
 void relay::on_table_changed(time_point now, const table_state& table, outbox& out)
 {
+    // Children that get no notice for lack of bandwidth learn of the change with their next pull, for which
+    // enough is left: a notice costs a pull more.
+    const auto lagging = static_cast<std::size_t>(std::ranges::count_if(
+        children_, [&](const child_state& c) { return c.confirmed < table.current_revision(); }));
+    const std::size_t reserved = lagging * small_change_bytes;
     wire::change_notice notice;
     notice.revision = table.current_revision().value;
     for (child_state& child : children_) {
         if (child.confirmed < table.current_revision() && child.notified < table.current_revision() &&
             now - child.heard <= notice_window) {
+            if (limits_.bytes_per_second != 0 &&
+                recent_bytes(now) + reserved + notice_bytes > limits_.bytes_per_second) {
+                return;
+            }
+            count_bytes(now, notice_bytes);
             child.notified = table.current_revision();
             out.send(child.address, notice);
         }
@@ -302,6 +398,7 @@
     last_report_ = now;
     report.sequence = ++sequence_;
     unacknowledged_ = report;
+    count_bytes(now, report_bytes + (report.children.size() * child_report_bytes));
     out.send(parent, std::move(report));
 }
 
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -3204,6 +3204,11 @@
 void pull_reply::__set_page(const table_page& val) {
   this->page = val;
 }
+
+void pull_reply::__set_crowded(const bool val) {
+  this->crowded = val;
+__isset.crowded = true;
+}
 std::ostream& operator<<(std::ostream& out, const pull_reply& obj)
 {
   obj.printTo(out);
@@ -3216,28 +3221,38 @@
   swap(a.nonce, b.nonce);
   swap(a.age_ms, b.age_ms);
   swap(a.page, b.page);
+  swap(a.crowded, b.crowded);
+  swap(a.__isset, b.__isset);
 }
 
 pull_reply::pull_reply(const pull_reply& other246) {
   nonce = other246.nonce;
   age_ms = other246.age_ms;
   page = other246.page;
+  crowded = other246.crowded;
+  __isset = other246.__isset;
 }
 pull_reply::pull_reply(pull_reply&& other247) noexcept {
   nonce = other247.nonce;
   age_ms = other247.age_ms;
   page = std::move(other247.page);
+  crowded = other247.crowded;
+  __isset = other247.__isset;
 }
 pull_reply& pull_reply::operator=(const pull_reply& other248) {
   nonce = other248.nonce;
   age_ms = other248.age_ms;
   page = other248.page;
+  crowded = other248.crowded;
+  __isset = other248.__isset;
   return *this;
 }
 pull_reply& pull_reply::operator=(pull_reply&& other249) noexcept {
   nonce = other249.nonce;
   age_ms = other249.age_ms;
   page = std::move(other249.page);
+  crowded = other249.crowded;
+  __isset = other249.__isset;
   return *this;
 }
 void pull_reply::printTo(std::ostream& out) const {
@@ -3246,6 +3261,7 @@
   out << "nonce=" << to_string(nonce);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ", " << "page=" << to_string(page);
+  out << ", " << "crowded="; (__isset.crowded ? (out << to_string(crowded)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -2697,6 +2697,10 @@
 
 std::ostream& operator<<(std::ostream& out, const table_page& obj);
 
+typedef struct _pull_reply__isset {
+  _pull_reply__isset() : crowded(false) {}
+  bool crowded :1;
+} _pull_reply__isset;
 
 class pull_reply {
  public:
@@ -2707,13 +2711,17 @@
   pull_reply& operator=(pull_reply&&) noexcept;
   pull_reply() noexcept
              : nonce(0),
-               age_ms(0) {
+               age_ms(0),
+               crowded(0) {
   }
 
   virtual ~pull_reply() noexcept;
   int64_t nonce;
   int32_t age_ms;
   table_page page;
+  bool crowded;
+
+  _pull_reply__isset __isset;
 
   void __set_nonce(const int64_t val);
 
@@ -2721,6 +2729,8 @@
 
   void __set_page(const table_page& val);
 
+  void __set_crowded(const bool val);
+
   bool operator == (const pull_reply & rhs) const
   {
     if (!(nonce == rhs.nonce))
@@ -2729,6 +2739,10 @@
       return false;
     if (!(page == rhs.page))
       return false;
+    if (__isset.crowded != rhs.__isset.crowded)
+      return false;
+    else if (__isset.crowded && !(crowded == rhs.crowded))
+      return false;
     return true;
   }
   bool operator != (const pull_reply &rhs) const {
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -4963,6 +4963,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->crowded);
+          this->__isset.crowded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4999,6 +5007,11 @@
   xfer += this->page.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.crowded) {
+    xfer += oprot->writeFieldBegin("crowded", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->crowded);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -344,6 +344,7 @@
   1: required i64 nonce
   2: required i32 age_ms        // since the sender heard of a leader with a quorum
   3: required table_page page
+  4: optional bool crowded      // the sender has too many children; try another parent
 }
 
 struct change_notice {
--- a/src/testing/control_cluster.h
+++ b/src/testing/control_cluster.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,6 +39,8 @@
     std::shared_ptr<fake_disk_content> disk;
     std::unique_ptr<control<fake_disk>> role;
     counters counted;
+    /// Processor time of the role, if the cluster measures it.
+    std::chrono::nanoseconds busy{0};
 };
 
 /// A balancer (with a relay) or an agent (without).
@@ -47,10 +53,37 @@
     std::unique_ptr<node_link> link;
     std::unique_ptr<relay> children;
     counters counted;
+    /// Processor time of the role, if the cluster measures it.
+    std::chrono::nanoseconds busy{0};
     /// Called after each event of the host.
     std::function<void(node_host&)> observe;
 };
 
+/// Adds the processor time of its scope to `sum`, if there is one.
+class stopwatch {
+public:
+    explicit stopwatch(std::chrono::nanoseconds* sum) : sum_(sum), start_(sum != nullptr ? read() : 0) {}
+    ~stopwatch()
+    {
+        if (sum_ != nullptr) {
+            *sum_ += std::chrono::nanoseconds(read() - start_);
+        }
+    }
+    stopwatch(const stopwatch&) = delete;
+    stopwatch& operator=(const stopwatch&) = delete;
+
+private:
+    static std::int64_t read()
+    {
+        timespec t{};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+        return (t.tv_sec * std::int64_t{1'000'000'000}) + t.tv_nsec;
+    }
+
+    std::chrono::nanoseconds* sum_;
+    std::int64_t start_;
+};
+
 /// Hosts control processes, balancers and agents on a fake network, and restarts them.
 class control_cluster {
 public:
@@ -108,10 +141,12 @@
         net_.add(
             c.at,
             [this, &c](time_point now, const endpoint& from, const message& m, outbox& out) {
+                const stopwatch watch(measure_ ? &c.busy : nullptr);
                 c.role->on_message(now, from, m, out);
                 settle(now, c, out);
             },
             [this, &c](time_point now, outbox& out) {
+                const stopwatch watch(measure_ ? &c.busy : nullptr);
                 c.role->on_tick(now, wall(), out);
                 settle(now, c, out);
             });
@@ -136,7 +171,7 @@
             for (const auto& c : controls_) {
                 s.parents.push_back(c->at);
             }
-            n.children = std::make_unique<relay>(n.counted);
+            n.children = std::make_unique<relay>(relay_limits::of_balancer(), n.counted);
         } else {
             for (const auto& b : nodes_) {
                 if (b->kind == node_role::balancer && b->zone == n.zone) {
@@ -151,9 +186,13 @@
         net_.add(
             n.at,
             [this, &n](time_point now, const endpoint& from, const message& m, outbox& out) {
+                const stopwatch watch(measure_ ? &n.busy : nullptr);
                 node_message(now, n, from, m, out);
             },
-            [this, &n](time_point now, outbox& out) { node_tick(now, n, out); });
+            [this, &n](time_point now, outbox& out) {
+                const stopwatch watch(measure_ ? &n.busy : nullptr);
+                node_tick(now, n, out);
+            });
     }
     void kill_node(node_host& n)
     {
@@ -200,6 +239,9 @@
         return nullptr;
     }
 
+    /// Measures the processor time of each role from now on.
+    void measure_processor_time() noexcept { measure_ = true; }
+
     fake_network& net() noexcept { return net_; }
     std::vector<std::unique_ptr<control_host>>& controls() noexcept { return controls_; }
     std::vector<std::unique_ptr<node_host>>& nodes() noexcept { return nodes_; }
@@ -267,6 +309,7 @@
     cluster_shape shape_;
     fake_network net_;
     std::mt19937_64 seeds_;
+    bool measure_ = false;
     std::vector<std::unique_ptr<control_host>> controls_;
     std::vector<std::unique_ptr<node_host>> nodes_;
 };
