--- a/src/libperidotcleat/version/replica_snapshot.cpp
+++ b/src/libperidotcleat/version/replica_snapshot.cpp
@@ -66,6 +66,8 @@
     reply.last_index = m.last_index;
     reply.round = m.round;
     if (m.term < hard_.term || (m.term == hard_.term && role_ == role::leader)) {
+        // The round belongs to another term. A later leader at the same address must not count it as its own.
+        reply.round = 0;
         reply.term = hard_.term;
         send(from, reply, out);
         return;
@@ -136,7 +138,7 @@
         p.match = std::max(p.match, m.last_index);
         p.next = std::max(p.next, p.match + 1);
         p.snapshot = p.acked_offset = p.sent_offset = 0;
-        p.in_flight.clear();
+        clear_in_flight(p);
         p.moved_at = now;
         advance_commit(now);
         return;
