--- a/src/include/peridotcleat/table_state.h
+++ b/src/include/peridotcleat/table_state.h
@@ -94,6 +94,8 @@
     static constexpr std::size_t max_services = 4096;
     static constexpr std::size_t max_targets = 20'000;
     static constexpr std::size_t max_nodes = 2000;
+    /// Size of a page that fits a pull_reply of `max_control_body`, its header included.
+    static constexpr std::size_t max_page = max_control_body - 40;
     /// Most operations of a patch; more are refused with `patch_too_large`.
     static constexpr std::size_t max_operations = 256;
 
@@ -107,7 +109,8 @@
     /// Moves the revision forward for entries that change nothing.
     void skip_to(revision at);
 
-    /// Checks a patch without applying it, and gives the answer that applying it at `now` would give.
+    /// Checks a patch without applying it, and gives the answer that applying it at `now` would give. A `now`
+    /// before the time of the last accepted patch counts as that time.
     [[nodiscard]] patch_answer check(const wire::patch& patch, wall_time now) const;
 
     [[nodiscard]] revision current_revision() const noexcept { return revision_; }
@@ -186,6 +189,7 @@
     void remove_service(revision at, service_id id, wall_time now);
     void quarantine_address(const endpoint& address, service_id former, wall_time now);
     void forget_expired_quarantine(wall_time now);
+    [[nodiscard]] wall_time patch_time(wall_time now) const noexcept;
     void bury(revision at, pvt::object_kind kind, std::int64_t id);
     void erase_live(const wire::service_entry& value);
     void erase_live(const wire::target& value);
