Measure the spread of drains and the costs of the control roles

The bench prints the time from a drain's acceptance to the last of 230 nodes, and the slopes of bytes, messages, CPU time and memory of control, relay and node over nodes, upstreams, addresses and changes at four sizes each, with the largest residual. Memory is what destroying one role gives back to malloc.

Operators of the randomised test resend patches of known fate to any process, and leaders freeze for up to 20 s, so that a leader that was replaced without noticing is asked for patches that others have accepted.

--- a/src/bench/bench_control.cpp
+++ b/src/bench/bench_control.cpp
@@ -145,17 +145,33 @@
         if (leader == nullptr) {
             return {};
         }
-        answer_ = {};
         const auto p = service_patch(++number_, leader->role->table().version().value, name, kind, service);
         waiting_ = leader->role->submit_patch(cluster_.net().now(), cluster_.wall(), p, true);
-        cluster_.settle(*leader);
+        return wait(*leader);
+    }
+
+    /// Returns the revision at which the target `name` drains, or none.
+    revision drain(const std::string& name)
+    {
+        control_host* leader = cluster_.leader();
+        if (leader == nullptr) {
+            return {};
+        }
+        waiting_ = leader->role->submit_drain(cluster_.net().now(), cluster_.wall(), name);
+        return wait(*leader);
+    }
+
+private:
+    revision wait(control_host& leader)
+    {
+        answer_ = {};
+        cluster_.settle(leader);
         for (int i = 0; i < 1000 && !answer_.at.valid(); ++i) {
             cluster_.net().run_for(milliseconds(10));
         }
         return answer_.at;
     }
 
-private:
     control_cluster& cluster_;
     ticket waiting_;
     patch_answer answer_;
@@ -294,8 +310,246 @@
     print("control_bytes_busiest_second", traffic.busiest(), "B/s", 3000, 0, seed);
 }
 
+// Costs of one process of a role for each second, and its memory.
+struct role_cost {
+    double bytes = 0;
+    double messages = 0;
+    double cpu_us = 0;
+    double memory_bytes = 0;
+};
+
+constexpr std::array<const char*, 3> role_names{"control", "relay", "node"};
+using run_costs = std::array<role_cost, role_names.size()>;
+
+// Memory that `release` gives back, in bytes.
+double memory_freed(const std::function<void()>& release)
+{
+    const std::size_t before = mallinfo2().uordblks;
+    release();
+    const std::size_t after = mallinfo2().uordblks;
+    return static_cast<double>(before) - static_cast<double>(after);
+}
+
+// Sums of a role's processes before and after the measured time.
+class role_meter {
+public:
+    role_meter(control_cluster& cluster, std::size_t role) : cluster_(cluster), role_(role)
+    {
+        start_ = read();
+    }
+
+    [[nodiscard]] role_cost per_second(double elapsed) const
+    {
+        const role_cost end = read();
+        const double share = 1 / (elapsed * static_cast<double>(count()));
+        return {(end.bytes - start_.bytes) * share, (end.messages - start_.messages) * share,
+                (end.cpu_us - start_.cpu_us) * share, 0};
+    }
+
+private:
+    template <class F>
+    void each(F f) const
+    {
+        if (role_ == 0) {
+            f(cluster_.leader()->at, cluster_.leader()->busy);
+            return;
+        }
+        const node_role kind = role_ == 1 ? node_role::balancer : node_role::target;
+        for (const auto& n : cluster_.nodes()) {
+            if (n->kind == kind) {
+                f(n->at, n->busy);
+            }
+        }
+    }
+    [[nodiscard]] std::size_t count() const
+    {
+        std::size_t n = 0;
+        each([&](const endpoint&, std::chrono::nanoseconds) { ++n; });
+        return n;
+    }
+    [[nodiscard]] role_cost read() const
+    {
+        role_cost sum;
+        each([&](const endpoint& at, std::chrono::nanoseconds busy) {
+            sum.bytes += static_cast<double>(bytes_of(cluster_, at));
+            sum.messages += static_cast<double>(messages_of(cluster_, at));
+            sum.cpu_us += static_cast<double>(busy.count()) / 1000;
+        });
+        return sum;
+    }
+
+    control_cluster& cluster_;
+    std::size_t role_;
+    role_cost start_;
+};
+
+// Size of one run of the slopes.
+struct run_size {
+    std::size_t balancers = 8;
+    std::size_t agents = 40;
+    std::size_t addresses = 8;
+    std::size_t changes_per_minute = 6;
+};
+
+run_costs measure(std::uint64_t seed, const run_size& size)
+{
+    constexpr int minutes = 1;
+    cluster_shape shape;
+    shape.controls = 3;
+    shape.balancers = size.balancers;
+    shape.agents = size.agents;
+    shape.services = size.addresses;
+    shape.zones = 2;
+    // Compaction and snapshots come in bursts that do not belong to one of these short runs.
+    shape.snapshot_after = 1'000'000;
+    control_cluster cluster(seed, shape);
+    bench_operator op(cluster);
+    run_costs costs;
+    if (!warm_up(cluster, op)) {
+        return costs;
+    }
+    cluster.measure_processor_time();
+    std::vector<role_meter> meters;
+    for (std::size_t role = 0; role < role_names.size(); ++role) {
+        meters.emplace_back(cluster, role);
+    }
+    const time_point start = cluster.net().now();
+    const std::size_t changes = size.changes_per_minute * minutes;
+    for (std::size_t i = 0; i < changes; ++i) {
+        const std::size_t service = i % shape.services;
+        op.submit(control_cluster::service_name(service), 2, service);
+        cluster.net().run_until(start +
+                                (std::chrono::microseconds(60'000'000) * minutes * (i + 1) / changes));
+    }
+    const double elapsed = std::chrono::duration<double>(cluster.net().now() - start).count();
+    for (std::size_t role = 0; role < role_names.size(); ++role) {
+        costs[role] = meters[role].per_second(elapsed);
+    }
+    control_host* leader = cluster.leader();
+    costs[0].memory_bytes = memory_freed([&] { leader->role.reset(); });
+    for (const auto kind : {node_role::balancer, node_role::target}) {
+        const auto it = std::ranges::find(cluster.nodes(), kind, [](const auto& n) { return n->kind; });
+        costs[kind == node_role::balancer ? 1 : 2].memory_bytes = memory_freed([&] {
+            (*it)->link.reset();
+            (*it)->children.reset();
+        });
+    }
+    return costs;
+}
+
+// Least-squares line through `points` and the largest distance from it, in percent of the largest value.
+struct fitted_line {
+    double slope = 0;
+    double residual_percent = 0;
+};
+
+fitted_line fit(const std::vector<std::pair<double, double>>& points)
+{
+    const auto n = static_cast<double>(points.size());
+    double sx = 0;
+    double sy = 0;
+    double sxx = 0;
+    double sxy = 0;
+    for (const auto& [x, y] : points) {
+        sx += x;
+        sy += y;
+        sxx += x * x;
+        sxy += x * y;
+    }
+    fitted_line line;
+    line.slope = ((n * sxy) - (sx * sy)) / ((n * sxx) - (sx * sx));
+    const double offset = (sy - (line.slope * sx)) / n;
+    double highest = 1e-9;
+    double distance = 0;
+    for (const auto& [x, y] : points) {
+        highest = std::max(highest, std::abs(y));
+        distance = std::max(distance, std::abs(y - offset - (line.slope * x)));
+    }
+    line.residual_percent = 100 * distance / highest;
+    return line;
+}
+
+struct axis {
+    const char* name;
+    std::array<std::size_t, 4> sizes;
+    std::size_t run_size::*field;
+};
+
+struct quantity {
+    const char* name;
+    const char* unit;
+    double role_cost::*field;
+};
+
+constexpr std::array<axis, 4> axes{{{"nodes", {4, 8, 16, 32}, &run_size::balancers},
+                                    {"upstreams", {20, 40, 80, 160}, &run_size::agents},
+                                    {"addresses", {4, 8, 16, 32}, &run_size::addresses},
+                                    {"changes_per_minute", {3, 6, 12, 24}, &run_size::changes_per_minute}}};
+constexpr std::array<quantity, 4> quantities{{{"bytes", "B/s", &role_cost::bytes},
+                                              {"messages", "1/s", &role_cost::messages},
+                                              {"cpu", "us/s", &role_cost::cpu_us},
+                                              {"memory", "B", &role_cost::memory_bytes}}};
+
+void bench_slopes(std::uint64_t seed)
+{
+    for (const axis& a : axes) {
+        std::vector<std::pair<double, run_costs>> runs;
+        for (const std::size_t size : a.sizes) {
+            run_size s;
+            s.*a.field = size;
+            runs.emplace_back(static_cast<double>(size), measure(seed, s));
+        }
+        for (std::size_t role = 0; role < role_names.size(); ++role) {
+            for (const quantity& q : quantities) {
+                std::vector<std::pair<double, double>> points;
+                for (const auto& [x, costs] : runs) {
+                    points.emplace_back(x, costs[role].*q.field);
+                }
+                const fitted_line line = fit(points);
+                const std::string name =
+                    std::string("control_slope_") + role_names[role] + '_' + q.name + "_per_" + a.name;
+                print(name, line.slope, q.unit, 0, 0, seed);
+                print(name + "_residual", line.residual_percent, "percent", 0, 0, seed);
+            }
+        }
+    }
+}
+
+// Time from the acceptance of a drain until no ready node offers the target.
+void bench_drains(std::uint64_t seed)
+{
+    constexpr std::size_t drains = 40;
+    cluster_shape shape;
+    shape.controls = 7;
+    shape.balancers = 30;
+    shape.agents = 200;
+    shape.services = 20;
+    shape.zones = 3;
+    control_cluster cluster(seed, shape);
+    bench_operator op(cluster);
+    if (!warm_up(cluster, op)) {
+        print("control_warm_up_failed", 1, "count", 0.5, 0, seed);
+        return;
+    }
+    spread_meter spread(cluster);
+    for (std::size_t i = 0; i < drains; ++i) {
+        spread.accepted(op.drain("agent-" + std::to_string(i)));
+        cluster.net().run_for(seconds(10));
+    }
+    const auto delays = spread.delays();
+    print("control_drains_not_spread", static_cast<double>(drains - delays.size()), "count", 0.5, 0, seed);
+    print("control_drain_everywhere_max", delays.empty() ? 99 : delays.back(), "s", 5, 0, seed);
+    print("control_drain_everywhere_median", delays.empty() ? 99 : delays[delays.size() / 2], "s", 5, 0,
+          seed);
+}
+
 }  // namespace
 
-void bench_control(std::uint64_t seed) { bench_spread(seed); }
+void bench_control(std::uint64_t seed)
+{
+    bench_spread(seed);
+    bench_drains(seed);
+    bench_slopes(seed);
+}
 
 }  // namespace peridotcleat
--- a/src/testing/control_run.h
+++ b/src/testing/control_run.h
@@ -85,6 +85,8 @@
         ticket waiting;
         time_point asked;
         int attempts = 0;
+        /// The fate of the patch is known, but it is sent again.
+        bool known = false;
     };
 
     std::size_t pick(std::size_t n) { return random_() % n; }
@@ -138,7 +140,8 @@
         o.waiting = {};
         const bool done = a.status != patch_status::outcome_unknown && a.status != patch_status::not_accepted;
         // Some operators ask again for what they know, as a script does that lost its notes.
-        if (done && !chance(10)) {
+        o.known = done;
+        if (done && !chance(25)) {
             o.patch.reset();
         }
     }
@@ -182,12 +185,13 @@
         p.operations.push_back(op);
         o.patch = p;
         o.attempts = 0;
+        o.known = false;
     }
 
     void attempt(patch_operator& o)
     {
         o.process = pick(cluster_.controls().size());
-        if (auto* leader = cluster_.leader(); leader != nullptr && chance(70)) {
+        if (auto* leader = cluster_.leader(); leader != nullptr && chance(o.known ? 20 : 70)) {
             o.process = index_of(*leader);
         }
         control_host& c = *cluster_.controls()[o.process];
@@ -235,7 +239,7 @@
                 if (chance(50)) {
                     stop_or_start_control(index_of(*leader));
                 } else {
-                    net.freeze(leader->at, net.now() + milliseconds(pick(8000)));
+                    net.freeze(leader->at, net.now() + milliseconds(pick(20000)));
                 }
             }
         }
