--- a/src/testing/request_checker.h
+++ b/src/testing/request_checker.h
@@ -36,7 +36,7 @@
 {
     std::string text;
     while (text.size() < length || text.empty()) {
-        text += request_body(key) + '#' + std::to_string(text.size()) + ';';
+        text += request_body(key) + '#' + std::to_string(text.size()) + std::string(24, ';');
     }
     return text;
 }
