--- a/src/testing/request_world.h
+++ b/src/testing/request_world.h
@@ -27,6 +27,8 @@
     upstream_behaviour upstreams;
     link_quality network;
     std::chrono::milliseconds tick{25};
+    /// New flows go to the target that holds the fewest, instead of one chosen by hash.
+    bool balanced = false;
 };
 
 /// Targets with their upstreams, and callers, over a fake network. A directory that is always right stands in
@@ -285,16 +287,30 @@
         if (const auto it = directory_.find(key); it != directory_.end()) {
             return targets_[it->second]->at;
         }
-        const std::size_t start = hash_of(key) % targets_.size();
+        const std::size_t start =
+            settings_.balanced ? least_loaded() : std::size_t{hash_of(key) % targets_.size()};
         for (std::size_t n = 0; n < targets_.size(); ++n) {
             const std::size_t i = (start + n) % targets_.size();
             if (is_up(i) && !targets_[i]->draining) {
+                if (settings_.balanced) {
+                    // The place counts from now on, so that flows that open together are spread as well.
+                    directory_[key] = i;
+                }
                 return targets_[i]->at;
             }
         }
         return targets_[start]->at;
     }
 
+    [[nodiscard]] std::size_t least_loaded() const
+    {
+        std::vector<std::size_t> load(targets_.size());
+        for (const auto& [key, i] : directory_) {
+            ++load[i];
+        }
+        return static_cast<std::size_t>(std::min_element(load.begin(), load.end()) - load.begin());
+    }
+
     void forget_flows(std::size_t i)
     {
         for (const auto& [key, flow] : targets_[i]->flows) {
