Give the balancer's relay its limits

Change: a balancer relays with relay_limits::of_balancer(). Measured: agent_test and flow_owner_test pass.

--- a/src/libperidotcleat/connection/agent_test.cpp
+++ b/src/libperidotcleat/connection/agent_test.cpp
@@ -82,7 +82,7 @@
     counters counted_;
     table_state table_;
     membership members_{{}, counted_};
-    relay relay_{counted_};
+    relay relay_{relay_limits{}, counted_};
 };
 
 // Balancers, agents with upstreams that echo after 20 ms, and callers.
--- a/src/libperidotcleat/connection/balancer.cpp
+++ b/src/libperidotcleat/connection/balancer.cpp
@@ -5,7 +5,7 @@
 namespace peridotcleat {
 
 balancer::balancer(const balancer_settings& settings, counters& counted, node_link link)
-    : address_(settings.link.address), link_(std::move(link)), relay_(counted)
+    : address_(settings.link.address), link_(std::move(link)), relay_(relay_limits::of_balancer(), counted)
 {
 }
 
