--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -151,6 +151,8 @@
         std::int64_t snapshot = 0;
         std::int64_t acked_offset = 0;
         std::int64_t sent_offset = 0;
+        // What the last reply said; falls below `acked_offset` if the follower started over.
+        std::int64_t reported_offset = 0;
     };
 
     // A folder that asks to become a member and has yet to show that it is alive.
--- a/src/libperidotcleat/version/replica_snapshot.cpp
+++ b/src/libperidotcleat/version/replica_snapshot.cpp
@@ -20,7 +20,7 @@
     const stored_snapshot& s = *log_.snapshot();
     if (p.snapshot != s.index) {
         p.snapshot = s.index;
-        p.acked_offset = p.sent_offset = offset = 0;
+        p.acked_offset = p.sent_offset = p.reported_offset = offset = 0;
     }
     wire::snapshot_chunk c;
     c.term = hard_.term;
@@ -51,7 +51,8 @@
     }
     if (now - p.moved_at > retransmit_after) {
         p.moved_at = now;
-        p.sent_offset = p.acked_offset;
+        // The follower may have started over, after a restart or a late chunk of another snapshot.
+        p.acked_offset = p.sent_offset = p.reported_offset;
     }
     while (p.sent_offset < static_cast<std::int64_t>(s.state.size()) &&
            p.sent_offset - p.acked_offset < chunk_window) {
@@ -143,10 +144,10 @@
         advance_commit(now);
         return;
     }
-    // Zero after progress means that the follower has restarted and holds nothing of the snapshot.
-    if (m.next_offset > p.acked_offset || (m.next_offset == 0 && p.acked_offset > 0)) {
+    p.reported_offset = std::max<std::int64_t>(m.next_offset, 0);
+    if (m.next_offset > p.acked_offset) {
         p.acked_offset = m.next_offset;
-        p.sent_offset = m.next_offset == 0 ? 0 : std::max(p.sent_offset, m.next_offset);
+        p.sent_offset = std::max(p.sent_offset, m.next_offset);
         p.moved_at = now;
     }
 }
