Answer an evicted patch with unknown even if its id was used again

The check of a reused id came before the check of the evicted record. An accepted patch whose record was evicted and whose id a later patch had used was told 'invalid' on a retry, though it had been accepted.

The order is now: same id and content; base above the current version; record of the base evicted; id used; conflict. The former test asked only for 'neither accepted nor conflict' and missed it; it now asks for 'unknown', and a randomised test retries patches of any age with reused ids.

--- a/src/include/peridotcleat/table_state.h
+++ b/src/include/peridotcleat/table_state.h
@@ -37,7 +37,7 @@
 /// Answer to a patch.
 struct patch_answer {
     patch_status status = patch_status::outcome_unknown;
-    /// Version as which the patch was accepted, or the current version on a conflict.
+    /// Version as which the patch was accepted, else the current version.
     config_version version;
     /// Revision of the entry that carried the accepted patch.
     revision at;
@@ -175,6 +175,7 @@
 private:
     class patch_check;
 
+    [[nodiscard]] std::optional<patch_answer> check_history(const wire::patch& patch) const;
     patch_answer apply_patch(revision at, const wire::patch& patch, wall_time now,
                              std::vector<service_id>& touched);
     void apply_operation(revision at, const wire::patch_operation& op, wall_time now,
--- a/src/libperidotcleat/version/table_patch.cpp
+++ b/src/libperidotcleat/version/table_patch.cpp
@@ -240,52 +240,60 @@
     std::map<endpoint, service_id> reserved_;
 };
 
-patch_answer table_state::check(const wire::patch& patch, wall_time now) const
+// Returns the answer that follows from the base and the records of accepted patches, if any.
+std::optional<patch_answer> table_state::check_history(const wire::patch& patch) const
 {
-    if (auto refused = check_form(patch)) {
-        return *refused;
-    }
     const auto recorded = by_patch_id_.find(patch.patch_id);
-    if (recorded != by_patch_id_.end()) {
+    const bool id_used = recorded != by_patch_id_.end();
+    if (id_used) {
         const wire::patch_record& record = patches_.at(recorded->second);
         if (record.digest == static_cast<std::int64_t>(content_digest(patch))) {
-            return {patch_status::already_accepted, recorded->second, revision{record.revision}, {}};
+            return patch_answer{
+                patch_status::already_accepted, recorded->second, revision{record.revision}, {}};
         }
     }
     if (patch.base > version_.value) {
         // Not `conflict`: a patch sent again after the table has reached its base may be accepted.
-        patch_answer a = refusal(patch_status::not_accepted, error_code::version_conflict,
-                                 "base: " + std::to_string(patch.base) + " is above the current version " +
-                                     std::to_string(version_.value));
-        a.version = version_;
-        return a;
-    }
-    if (recorded != by_patch_id_.end()) {
+        return refusal(patch_status::not_accepted, error_code::version_conflict,
+                       "base: " + std::to_string(patch.base) + " is above the current version " +
+                           std::to_string(version_.value));
+    }
+    // Before the check of the id: the id of an evicted patch may have been used again, and the former patch
+    // must not be told that it was refused.
+    if (patch.base < version_.value && !patches_.contains(config_version{patch.base + 1})) {
+        return refusal(patch_status::outcome_unknown, error_code::outcome_unknown,
+                       "base: the record of version " + std::to_string(patch.base + 1) +
+                           " is no longer kept; see the history of patches");
+    }
+    if (id_used) {
         return refusal(patch_status::invalid, error_code::patch_id_reused,
                        "patch_id: version " + std::to_string(recorded->second.value) +
                            " has this id with other content");
     }
     if (patch.base < version_.value) {
-        const bool decided = patches_.contains(config_version{patch.base + 1});
-        patch_answer a = decided
-                             ? refusal(patch_status::conflict, error_code::version_conflict,
-                                       "base: " + std::to_string(patch.base) +
-                                           " is not the current version " + std::to_string(version_.value))
-                             : refusal(patch_status::outcome_unknown, error_code::outcome_unknown,
-                                       "base: the record of version " + std::to_string(patch.base + 1) +
-                                           " is no longer kept; see the history of patches");
-        a.version = version_;
-        return a;
-    }
-    if (auto refused = patch_check(*this, patch_time(now)).run(patch)) {
-        refused->version = version_;
-        return *refused;
-    }
-    patch_answer accepted;
-    accepted.status = patch_status::accepted;
-    accepted.version = config_version{version_.value + 1};
-    accepted.at = revision_;
-    return accepted;
+        return refusal(patch_status::conflict, error_code::version_conflict,
+                       "base: " + std::to_string(patch.base) + " is not the current version " +
+                           std::to_string(version_.value));
+    }
+    return std::nullopt;
+}
+
+patch_answer table_state::check(const wire::patch& patch, wall_time now) const
+{
+    auto answer = check_form(patch);
+    if (!answer) {
+        answer = check_history(patch);
+    }
+    if (!answer) {
+        answer = patch_check(*this, patch_time(now)).run(patch);
+    }
+    if (!answer) {
+        return {patch_status::accepted, config_version{version_.value + 1}, revision_, {}};
+    }
+    if (answer->status != patch_status::already_accepted) {
+        answer->version = version_;
+    }
+    return *answer;
 }
 
 // Clocks of leaders differ. The time of accepted patches never goes back, so that a leader whose clock is
--- a/src/libperidotcleat/version/table_state_test.cpp
+++ b/src/libperidotcleat/version/table_state_test.cpp
@@ -233,8 +233,32 @@
               patch_status::not_accepted);
     table.apply(next_revision(table), patch_of(count, "p99"));
     EXPECT_EQ(table.check(patch_of(count + 1, "early").new_patch, at_ms(2)).status, patch_status::accepted);
-    EXPECT_NE(table.check(patch_of(99, "p99").new_patch, at_ms(2)).status, patch_status::accepted);
-    EXPECT_NE(table.check(patch_of(99, "p99").new_patch, at_ms(2)).status, patch_status::conflict);
+    EXPECT_EQ(table.check(patch_of(99, "p99").new_patch, at_ms(2)).status, patch_status::outcome_unknown);
+}
+
+// Guards against answers that contradict earlier ones when operators reuse ids and retry patches of any age,
+// with records evicted in between.
+TEST(table_state, late_retries_and_reused_ids_get_true_answers)
+{
+    testing::change_source source(9);
+    table_state table;
+    table_watch watch;
+    std::vector<wire::change> sent;
+    const auto send = [&](const wire::change& change) {
+        const auto out = table.apply(next_revision(table), change);
+        watch.check_answer(change.new_patch, *out.patch, table);
+    };
+    while (table.version().value < static_cast<std::int64_t>(table_state::max_patch_records) + 2000) {
+        auto value = make_service("a", {{0x7f000001U, 80}});
+        value.__set_ramp_ms(static_cast<std::int32_t>(source.below(1000)));
+        const std::int64_t base = table.version().value + (source.below(20) == 0 ? 1 : 0);
+        const std::size_t id = source.below(3) == 0 ? source.below(sent.size() + 1) : sent.size();
+        sent.push_back(make_patch(1, "p" + std::to_string(id), base,
+                                  {make_operation(base == 0 ? operation::add : operation::change, value)}));
+        send(sent.back());
+        send(sent[source.below(sent.size())]);
+    }
+    ASSERT_FALSE(HasFailure());
 }
 
 // Guards against reasons that do not name the field at fault, and against patches that are applied in part.
