Check leases, leaving and undisturbed nodes in the calm phase

A leader without a valid lease of its own starts the nodes' leases anew: what it heard meanwhile says nothing about the nodes, and after a cut it would otherwise have removed a fifth of each service a second until it heard again.

The randomised test now checks that a leaving node is out of the table within 5 s, that a lost one keeps its place for 4.5 s and has lost it after 10 s, and that no other node loses its place in a calm network with 2 % loss. Operators wait for 2 to 12 s, and answers time out after 1 to 10 s, so that "outcome unknown" is seen and not only given up on.

--- a/src/include/peridotcleat/control.h
+++ b/src/include/peridotcleat/control.h
@@ -77,6 +77,9 @@
         replica_.on_tick(now, out);
         const auto parent = leading() ? std::nullopt : replica_.leader();
         relay_.on_tick(now, {}, relay_nonce_, parent.value_or(endpoint{}), out);
+        if (!replica_.lease_valid(now)) {
+            membership_.restart_leases(now);
+        }
         if (leading() && now - last_expiry_ >= expiry_interval) {
             last_expiry_ = now;
             for (wire::change& change : membership_.expire(now, table_, relay_)) {
--- a/src/include/peridotcleat/membership.h
+++ b/src/include/peridotcleat/membership.h
@@ -69,6 +69,10 @@
     /// Forgets everything and starts the first lease. Call when this process becomes leader.
     void start(time_point now);
 
+    /// Starts the leases anew. Call while this leader has no valid lease of its own: what it heard of nodes
+    /// meanwhile says nothing about them.
+    void restart_leases(time_point now) noexcept { started_ = now; }
+
     /// Decides about an announcement. `table` reflects all entries of earlier terms.
     announce_decision on_announce(time_point now, const wire::announce& request, const table_state& table);
     /// Returns leave changes of nodes whose lease has ended. At most a fifth of a service's targets (at least
--- a/src/testing/control_cluster.h
+++ b/src/testing/control_cluster.h
@@ -30,6 +30,7 @@
     std::size_t zones = 2;
     std::int64_t snapshot_after = 4096;
     std::chrono::milliseconds tick{40};
+    std::chrono::milliseconds answer_timeout{10000};
 };
 
 /// A control process and its disk, which outlives restarts.
@@ -121,6 +122,7 @@
         control_host& c = *controls_[i];
         control_settings s;
         s.snapshot_after = shape_.snapshot_after;
+        s.answer_timeout = shape_.answer_timeout;
         s.replica.name = c.name;
         s.replica.address = c.at;
         s.replica.bootstrap = bootstrap;
--- a/src/testing/control_run.h
+++ b/src/testing/control_run.h
@@ -3,7 +3,9 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,9 +53,13 @@
         advance(seconds(75));
         check_converged();
         check_drain();
-        check_flapping();
+        const auto before = identities();
+        node_host& leaving = check_leaving();
+        node_host& lost = check_loss();
+        node_host& flapping = check_flapping();
         advance(seconds(14));
         check_converged();
+        check_undisturbed(before, {&leaving, &lost, &flapping});
     }
 
     [[nodiscard]] const control_checker& checker() const noexcept { return checker_; }
@@ -85,6 +91,8 @@
         ticket waiting;
         time_point asked;
         int attempts = 0;
+        /// How long the operator waits for an answer before it sends the patch again.
+        std::chrono::milliseconds patience{3000};
         /// The fate of the patch is known, but it is sent again.
         bool known = false;
     };
@@ -101,6 +109,7 @@
         shape.agents = 4 + pick(7);
         shape.services = 1 + pick(3);
         shape.snapshot_after = static_cast<std::int64_t>(10 + pick(100));
+        shape.answer_timeout = milliseconds(1000 + pick(9000));
         return shape;
     }
 
@@ -149,7 +158,7 @@
     void act()
     {
         for (patch_operator& o : operators_) {
-            if (o.waiting.valid() && cluster_.net().now() - o.asked > seconds(3)) {
+            if (o.waiting.valid() && cluster_.net().now() - o.asked > o.patience) {
                 o.waiting = {};
             }
             if (o.waiting.valid() || !chance(60)) {
@@ -200,6 +209,7 @@
         }
         o.generation = generations_[o.process];
         o.asked = cluster_.net().now();
+        o.patience = milliseconds(2000 + pick(10000));
         checker_.on_attempt(o.asked, *o.patch);
         o.waiting = c.role->submit_patch(o.asked, skewed_wall(), *o.patch, o.attempts++ == 0);
         cluster_.settle(c);
@@ -413,13 +423,11 @@
 
     // An agent that restarts all the time for 30 s may join at 0, 1, 3, 7, 15 and 31 s, and once more for a
     // join that was on its way.
-    void check_flapping()
+    node_host& check_flapping()
     {
-        const auto it =
-            std::ranges::find(cluster_.nodes(), node_role::target, [](const auto& n) { return n->kind; });
-        node_host& n = **it;
+        node_host& n = agent(0);
         if (!calm_leader().role->table().find_service(n.service)) {
-            return;
+            return n;
         }
         const std::size_t before = checker_.joins_of(n.at);
         const time_point end = cluster_.net().now() + seconds(30);
@@ -432,6 +440,63 @@
         control_checker::require(joins >= 1 && joins <= 7, "joins of a flapping target in 30 s",
                                  static_cast<std::int64_t>(joins));
         advance(seconds(60));
+        return n;
+    }
+
+    node_host& agent(std::size_t i) { return *cluster_.nodes()[cluster_.shape().balancers + i]; }
+
+    bool registered(incarnation id)
+    {
+        const table_state& table = calm_leader().role->table();
+        return id.valid() && (table.targets().contains(id) || table.nodes().contains(id));
+    }
+
+    // A node that leaves is out of the table within 5 s.
+    node_host& check_leaving()
+    {
+        node_host& n = agent(1);
+        const incarnation id = n.link->id();
+        n.link->set_state(node_state::leaving);
+        advance(seconds(5));
+        control_checker::require(!registered(id), n.name + ": registered 5 s after it began to leave",
+                                 id.value);
+        cluster_.kill_node(n);
+        cluster_.start_node(n);
+        return n;
+    }
+
+    // A node that is lost keeps its place for its lease of 6 s; 4 s more allow for reports that are lost.
+    node_host& check_loss()
+    {
+        node_host& n = agent(2);
+        const incarnation id = n.link->id();
+        const bool before = registered(id);
+        cluster_.kill_node(n);
+        advance(milliseconds(4500));
+        control_checker::require(!before || registered(id), n.name + ": expired too early", id.value);
+        advance(milliseconds(5500));
+        control_checker::require(!registered(id), n.name + ": registered 10 s after it was lost", id.value);
+        cluster_.start_node(n);
+        return n;
+    }
+
+    std::map<const node_host*, incarnation> identities()
+    {
+        std::map<const node_host*, incarnation> ids;
+        for (const auto& n : cluster_.nodes()) {
+            ids[n.get()] = n->link->id();
+        }
+        return ids;
+    }
+
+    // In a calm network no node loses its place because of its lease.
+    void check_undisturbed(const std::map<const node_host*, incarnation>& before,
+                           const std::set<const node_host*>& disturbed)
+    {
+        for (const auto& [n, id] : before) {
+            control_checker::require(!id.valid() || disturbed.contains(n) || n->link->id() == id,
+                                     n->name + ": lost its place in a calm network", id.value);
+        }
     }
 
     std::mt19937_64 random_;
