Close gaps that a hostile peer or a slow connect can use

A request with the largest sequence overflowed the window comparison; a part that claims 16 million parts made the caller allocate half a gigabyte, now at most 65,536 parts are accepted. A cancellation during the connect of its call overtook the call and had no effect; the call is now not sent at all.

--- a/src/bench/bench_requests.cpp
+++ b/src/bench/bench_requests.cpp
@@ -224,7 +224,7 @@
                      "requests_burst_not_answered_queue_8")}) {
         const burst_shares ours = burst(seed, variant::ours, queue);
         // 95 % of what fits into slots and queue must be answered.
-        const double fits = static_cast<double>(burst_targets * burst_slots * (1 + queue)) / burst_size;
+        const auto fits = static_cast<double>(burst_targets * burst_slots * (1 + queue)) / burst_size;
         print({late_name, "share", ours.admitted_late, 0.05, base.admitted_late, false}, seed);
         print({name, "share", ours.not_answered, 1 - 0.95 * fits, base.not_answered, false}, seed);
     }
--- a/src/include/peridotcleat/answer_parts.h
+++ b/src/include/peridotcleat/answer_parts.h
@@ -16,6 +16,9 @@
 /// Largest answer in bytes that is sent or assembled.
 inline constexpr std::int64_t max_answer_bytes = 16 << 20;
 
+/// Largest number of parts of one answer.
+inline constexpr std::int32_t max_parts = 1 << 16;
+
 /// Checksum of the answer `body` to the request `name`.
 std::int64_t answer_checksum(const request_name& name, std::string_view body) noexcept;
 
--- a/src/libperidotcleat/request/answer_parts.cpp
+++ b/src/libperidotcleat/request/answer_parts.cpp
@@ -1,6 +1,5 @@
 #include "peridotcleat/answer_parts.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "peridotcleat/hash.h"
@@ -36,8 +35,8 @@
 
 bool answer_assembly::acceptable(const wire::response_part& part) const noexcept
 {
-    if (part.index < 0 || part.index >= part.count || part.total_length < 0 ||
-        part.total_length > max_answer_bytes || part.count > std::max<std::int64_t>(part.total_length, 1)) {
+    if (part.index < 0 || part.index >= part.count || part.count > max_parts || part.total_length < 0 ||
+        part.total_length > max_answer_bytes) {
         return false;
     }
     return parts_.empty() || (static_cast<std::size_t>(part.count) == parts_.size() &&
--- a/src/libperidotcleat/request/request_table.cpp
+++ b/src/libperidotcleat/request/request_table.cpp
@@ -167,7 +167,7 @@
         send_state(now, key, name, it->second, out);
         return;
     }
-    if (m.sequence >= flow->settled_below + request_window || record_count_ >= settings_.max_records) {
+    if (m.sequence - flow->settled_below >= request_window || record_count_ >= settings_.max_records) {
         // A refusal would have to be recorded; without a reply the caller sends the request again later.
         counted_->refuse(error_code::flow_limit);
         return;
@@ -281,7 +281,8 @@
     running_.erase(it);
     slots_->release(now, service_, r.code, took);
     if (request_record* record = find_record(r.name); record != nullptr) {
-        const bool too_large = r.body.size() > static_cast<std::size_t>(max_answer_bytes);
+        const bool too_large = r.body.size() > static_cast<std::size_t>(max_answer_bytes) ||
+                               part_count(r.body.size(), settings_.part_bytes) > max_parts;
         switch (r.code) {
         case error_code::ok:
             if (too_large) {
@@ -324,7 +325,7 @@
         out.reply(key, make_result(name, wire_status::not_run, reason));
         return;
     }
-    if (m.sequence < flow->settled_below || m.sequence >= flow->settled_below + request_window ||
+    if (m.sequence < flow->settled_below || m.sequence - flow->settled_below >= request_window ||
         record_count_ >= settings_.max_records) {
         return;
     }
--- a/src/libperidotcleat/request/request_table_test.cpp
+++ b/src/libperidotcleat/request/request_table_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <list>
 
 namespace peridotcleat {
@@ -118,6 +119,10 @@
 {
     request(request_window + 1, seconds(1));
     EXPECT_TRUE(out_.calls.empty() && out_.replies.empty());
+    // The largest sequence must not overflow the window.
+    request(std::numeric_limits<std::int64_t>::max(), seconds(1), std::numeric_limits<std::int64_t>::max());
+    EXPECT_EQ(out_.calls.size(), 1U);
+    out_.clear();
     request_settings s;
     s.max_records = 2;
     table_ = make(s);
--- a/src/libperidotcleat/request/upstream_client.cpp
+++ b/src/libperidotcleat/request/upstream_client.cpp
@@ -13,6 +13,7 @@
 #include <condition_variable>
 #include <deque>
 #include <istream>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <ostream>
@@ -88,6 +89,8 @@
     std::deque<job> calls;
     std::deque<request_name> cancels;
     std::vector<upstream_result> results;
+    // Calls that a worker has taken and not sent yet, and whether they were cancelled meanwhile.
+    std::map<request_name, bool> unsent;
     // Connections that `stop` breaks.
     std::set<StreamSocket> connections;
     bool stopping = false;
@@ -108,6 +111,8 @@
     void send_cancel(const request_name& name);
     bool connect(StreamSocket& socket, milliseconds timeout);
     void disconnect(const StreamSocket& socket);
+    // Returns false if the call was cancelled; it must not be sent then.
+    bool begin_send(const request_name& name);
 
     [[nodiscard]] std::string id_of(const request_name& name) const
     {
@@ -132,6 +137,7 @@
         }
         const job j = std::move(calls.front());
         calls.pop_front();
+        unsent[j.call.name] = false;
         lock.unlock();
         finish(perform(j));
     }
@@ -141,6 +147,7 @@
 {
     {
         const std::scoped_lock lock(mutex);
+        unsent.erase(r.name);
         results.push_back(std::move(r));
     }
     if (wake_up) {
@@ -171,6 +178,15 @@
     connections.erase(socket);
 }
 
+bool upstream_client::impl::begin_send(const request_name& name)
+{
+    const std::scoped_lock lock(mutex);
+    const auto it = unsent.find(name);
+    const bool cancelled = it != unsent.end() && it->second;
+    unsent.erase(name);
+    return !cancelled;
+}
+
 upstream_result upstream_client::impl::perform(const job& j)
 {
     if (until(j.deadline).count() <= 0) {
@@ -180,6 +196,10 @@
     if (!connect(socket, std::min(settings.connect_timeout, until(j.deadline)))) {
         return {j.call.name, error_code::upstream_unreachable, {}};
     }
+    if (!begin_send(j.call.name)) {
+        disconnect(socket);
+        return {j.call.name, error_code::cancelled, {}};
+    }
     upstream_result r{j.call.name, error_code::outcome_unknown, {}};
     try {
         r = exchange(j, socket, id_of(j.call.name));
@@ -303,7 +323,9 @@
         const std::scoped_lock lock(impl_->mutex);
         const auto it = std::find_if(impl_->calls.begin(), impl_->calls.end(),
                                      [&](const impl::job& j) { return j.call.name == c.name; });
-        if (it == impl_->calls.end()) {
+        if (const auto taken = impl_->unsent.find(c.name); taken != impl_->unsent.end()) {
+            taken->second = true;
+        } else if (it == impl_->calls.end()) {
             impl_->cancels.push_back(c.name);
         } else {
             impl_->calls.erase(it);
--- a/src/libperidotcleat/request/upstream_client_test.cpp
+++ b/src/libperidotcleat/request/upstream_client_test.cpp
@@ -100,7 +100,7 @@
 };
 
 class upstream_client_test : public ::testing::Test {
-protected:
+public:
     upstream_client_test()
         : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)),
           server_(new factory(state_), socket_, new Poco::Net::HTTPServerParams)
@@ -114,7 +114,12 @@
         release();
         server_.stopAll(true);
     }
+    upstream_client_test(const upstream_client_test&) = delete;
+    upstream_client_test& operator=(const upstream_client_test&) = delete;
+    upstream_client_test(upstream_client_test&&) = delete;
+    upstream_client_test& operator=(upstream_client_test&&) = delete;
 
+protected:
     void start(std::uint16_t port)
     {
         upstream_client_settings s;
--- a/src/testing/fake_upstream.h
+++ b/src/testing/fake_upstream.h
@@ -51,16 +51,15 @@
     /// Starts the request, or refuses it. `done` gets the result, unless the upstream is down by then.
     void call(const upstream_call& c, incarnation at, const result_handler& done)
     {
+        const bool has_slot = running_.size() < behaviour_.slots;
         if (down_) {
             answer(c.name, error_code::upstream_unreachable, {}, done);
-        } else if (net_->chance(behaviour_.shed)) {
+        } else if (net_->chance(behaviour_.shed) || (!has_slot && !behaviour_.unbounded_queue)) {
             answer(c.name, error_code::shed_by_upstream, {}, done);
-        } else if (running_.size() < behaviour_.slots) {
+        } else if (has_slot) {
             run({c, at, done});
-        } else if (behaviour_.unbounded_queue) {
-            queue_.push_back({c, at, done});
         } else {
-            answer(c.name, error_code::shed_by_upstream, {}, done);
+            queue_.push_back({c, at, done});
         }
     }
 
