--- /dev/null
+++ b/src/libperidotcleat/request/request_table_ticks.cpp
@@ -0,0 +1,179 @@
+// The part of request_table that time drives: deadlines, draining, expiry, and pushes with their resends.
+#include <algorithm>
+#include <utility>
+
+#include "peridotcleat/request_table.h"
+
+namespace peridotcleat {
+
+using pvt::flow_records;
+using pvt::request_record;
+
+namespace {
+
+constexpr std::chrono::milliseconds drain_notice_interval{1000};
+// Notices can be lost and are not acknowledged; a caller that misses all of them learns from a refusal.
+constexpr std::uint8_t drain_notices_per_flow = 3;
+
+}  // namespace
+
+void request_table::on_push_ack(const flow_key& key, const wire::push_ack& m)
+{
+    flow_records* flow = find_flow(key, m.token);
+    if (flow == nullptr || !flow->pushes) {
+        return;
+    }
+    flow->pushes->acknowledge(m.sequence);
+    if (flow->pushes->empty()) {
+        pushing_.erase(flow_token{m.token});
+    }
+}
+
+result<success> request_table::push(time_point now, flow_token token, std::string bytes, outbox& out)
+{
+    const auto it = flows_.find(token);
+    if (it == flows_.end()) {
+        return error{error_code::flow_unknown, "no flow with token " + std::to_string(token.value)};
+    }
+    if (!it->second.pushes) {
+        it->second.pushes = std::make_unique<push_sender>();
+    }
+    if (!it->second.pushes->add(now, std::move(bytes), settings_.push_queue)) {
+        counted_->refuse(error_code::queue_full);
+        return error{error_code::queue_full,
+                     std::to_string(settings_.push_queue) + " pushes wait for their acknowledgement"};
+    }
+    pushing_.insert(token);
+    send_pushes(now, token, it->second, out);
+    return success{};
+}
+
+void request_table::send_pushes(time_point now, flow_token token, flow_records& flow, outbox& out)
+{
+    std::vector<wire::push> due;
+    flow.pushes->due(now, token, due);
+    for (wire::push& p : due) {
+        out.reply(flow.key, std::move(p));
+    }
+}
+
+void request_table::on_tick(time_point now, outbox& out)
+{
+    if (std::exchange(cold_, false)) {
+        slots_->begin_ramp(now);
+    }
+    for (const request_name& name : std::exchange(late_cancels_, {})) {
+        out.cancels.push_back({name});
+    }
+    for (const flow_token token : pushing_) {
+        send_pushes(now, token, flows_.at(token), out);
+    }
+    enforce_deadlines(now, out);
+    drain_tick(now, out);
+    expire_answers(now);
+    start_waiting(now, out);
+}
+
+void request_table::enforce_deadlines(time_point now, outbox& out)
+{
+    std::vector<request_name> expired;
+    slots_->expire(now, service_, expired);
+    for (const request_name& name : expired) {
+        --waiting_;
+        refuse(now, name, error_code::deadline_exceeded, out);
+    }
+    for (const auto& [name, running] : running_) {
+        if (running.deadline <= now) {
+            cancel_upstream(name, out);
+        }
+    }
+}
+
+void request_table::expire_answers(time_point now)
+{
+    while (!finished_.empty() && finished_.front().when + settings_.answer_retention <= now) {
+        const finished_entry entry = finished_.front();
+        finished_.pop_front();
+        request_record* record = find_record(entry.name);
+        if (record == nullptr || record->acknowledged) {
+            continue;
+        }
+        if (record->sent + settings_.answer_retention > now) {
+            finished_.push_back({entry.name, record->sent});
+        } else {
+            acknowledge(*record);
+        }
+    }
+}
+
+void request_table::set_draining(bool draining)
+{
+    draining_ = draining;
+    draining_since_.reset();
+}
+
+// Ends what still waits some time after draining began. A process that was stopped for a while gets here
+// first as well, so that nothing starts too late.
+void request_table::refuse_drained(time_point now, outbox& out)
+{
+    if (!draining_since_ || now - *draining_since_ < settings_.drain_queue || waiting_ == 0) {
+        return;
+    }
+    for (const request_name& name : slots_->withdraw_all(service_)) {
+        --waiting_;
+        refuse(now, name, error_code::draining, out);
+    }
+}
+
+void request_table::drain_tick(time_point now, outbox& out)
+{
+    if (!draining_) {
+        return;
+    }
+    if (!draining_since_) {
+        draining_since_ = now;
+        next_drain_notice_ = now;
+        for (auto& [token, flow] : flows_) {
+            flow.drain_notices = 0;
+        }
+    }
+    refuse_drained(now, out);
+    if (now < next_drain_notice_) {
+        return;
+    }
+    next_drain_notice_ = now + drain_notice_interval;
+    for (auto& [token, flow] : flows_) {
+        if (flow.drain_notices < drain_notices_per_flow) {
+            ++flow.drain_notices;
+            wire::flow_draining notice;
+            notice.token = token.value;
+            out.reply(flow.key, notice);
+        }
+    }
+    // Callers acknowledge what they get again, which tells this target that it may stop.
+    for (const finished_entry& f : finished_) {
+        request_record* record = find_record(f.name);
+        if (record != nullptr && !record->acknowledged) {
+            send_state(now, flows_.at(f.name.token).key, f.name, *record, out);
+        }
+    }
+}
+
+std::size_t request_table::in_progress() const noexcept { return waiting_ + running_.size(); }
+
+bool request_table::quiet(time_point now) const
+{
+    if (in_progress() > 0 || unacknowledged_ > 0) {
+        return false;
+    }
+    return std::all_of(pushing_.begin(), pushing_.end(), [&](flow_token token) {
+        return flows_.at(token).pushes->oldest() + settings_.answer_retention <= now;
+    });
+}
+
+std::uint32_t request_table::slots_in_use() const noexcept
+{
+    return static_cast<std::uint32_t>(running_.size());
+}
+
+}  // namespace peridotcleat
