--- a/src/testing/request_world.h
+++ b/src/testing/request_world.h
@@ -178,11 +178,8 @@
                              settings_.callers_with.retry_percent);
         }
         for (std::size_t i = 0; i < targets_.size(); ++i) {
-            target_host& t = *targets_[i];
-            for (const auto& [key, flow] : t.flows) {
-                if (is_up(i) && t.table->quiet(net_.now())) {
-                    checker_.all_pushed(push_flow(t, flow.token), t.pushed[flow.token]);
-                }
+            if (is_up(i) && targets_[i]->table->quiet(net_.now())) {
+                check_pushes(*targets_[i]);
             }
         }
     }
@@ -229,6 +226,14 @@
         return std::to_string(t.id.value) + '.' + std::to_string(token);
     }
 
+    // A quiet target has delivered all pushes of its flows.
+    void check_pushes(target_host& t)
+    {
+        for (const auto& [key, flow] : t.flows) {
+            checker_.all_pushed(push_flow(t, flow.token), t.pushed[flow.token]);
+        }
+    }
+
     void add_caller(std::size_t i)
     {
         callers_.push_back(std::make_unique<caller_host>());
@@ -408,6 +413,7 @@
         t.table->on_tick(now, out);
         if (t.draining && t.table->quiet(now)) {
             checker_.planned_stop(t.id, t.table->in_progress());
+            check_pushes(t);
             t.draining = false;
             crash_target(i);
         }
