--- a/src/bench/bench_requests.cpp
+++ b/src/bench/bench_requests.cpp
@@ -206,7 +206,7 @@
         }
         world.net().run_for(seconds(3));
     }
-    const double admitted = static_cast<double>(answered + late);
+    const auto admitted = static_cast<double>(answered + late);
     return {static_cast<double>(late) / admitted,
             static_cast<double>(late + refused) / (admitted + static_cast<double>(refused))};
 }
