--- a/src/testing/flow_checker.h
+++ b/src/testing/flow_checker.h
@@ -34,12 +34,13 @@
 /// the changes that it makes; violations are collected as text.
 class flow_checker {
 public:
-    /// An open flow must get an answer within this time, although up to 4 s may pass until all tables agree
-    /// and packets are lost.
-    static constexpr std::chrono::seconds answer_limit{6};
     /// A draining target takes no new flow later than this.
     static constexpr std::chrono::seconds drain_limit{5};
 
+    /// An open flow must get an answer within `answer_limit`, which leaves time until all tables agree and
+    /// for repetitions of lost packets.
+    explicit flow_checker(std::chrono::milliseconds answer_limit) : answer_limit_(answer_limit) {}
+
     void on_target_joined(incarnation id, service_id service) { targets_[id].service = service; }
     void on_target_draining(time_point now, incarnation id) { targets_[id].draining_since = now; }
     /// The target failed without a planned change; what it held is lost, and packets that its buckets attract
@@ -104,7 +105,7 @@
     void check_answer(time_point now, const caller_flow_state& flow)
     {
         if (flow.at == caller_flow_state::phase::open && flow.unanswered && !excused(flow) &&
-            std::max(*flow.unanswered, outage_until_) + answer_limit < now) {
+            std::max(*flow.unanswered, outage_until_) + answer_limit_ < now) {
             report(now, "open flow " + to_string(flow.key) + " at " + std::to_string(flow.holder.value) +
                             " gets no answer");
         }
@@ -147,6 +148,7 @@
         }
     }
 
+    std::chrono::milliseconds answer_limit_;
     std::map<incarnation, target_state> targets_;
     std::map<service_id, bool> removed_services_;
     std::map<std::pair<endpoint, service_id>, bool> removed_addresses_;
