Tell callers of draining before requests are refused

Of 300 runs of the rolling replacement, some ended with one request each as not_run/draining: callers first heard of draining through a refusal and had no retry budget left. The agent now sends flow_draining to all callers when it begins to drain and refuses requests 500 ms later.

--- a/src/include/peridotcleat/agent.h
+++ b/src/include/peridotcleat/agent.h
@@ -78,6 +78,8 @@
     bool draining_ = false;
     bool empty_ = false;
     std::optional<time_point> stop_began_;
+    /// When requests are refused because the agent drains.
+    std::optional<time_point> requests_drain_at_;
 };
 
 }  // namespace peridotcleat
--- a/src/include/peridotcleat/flow_owner.h
+++ b/src/include/peridotcleat/flow_owner.h
@@ -72,6 +72,9 @@
     /// Repeats queries and offers, ends idle flows, reports loads. Call at least every 50 ms.
     void on_tick(time_point now, outbox& out);
 
+    /// Asks the callers of all held flows to open their next requests on other flows.
+    void announce_draining(outbox& out) const;
+
     /// Returns and clears the events since the last call, in order.
     std::vector<flow_event> take_events();
     /// Returns the key of a held flow, if `token` names one. Takes time linear in the number of flows.
--- a/src/libperidotcleat/connection/agent.cpp
+++ b/src/libperidotcleat/connection/agent.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 // Within 5 s of draining no balancer sends new flows; twice that without control's confirmation is enough.
+// Requests are taken for this long after draining began, so that callers have heard of it and opened a flow
+// elsewhere before their requests are refused. Together with request_settings::drain_queue it stays below 5
+// s.
+constexpr std::chrono::milliseconds drain_grace{500};
 constexpr std::chrono::seconds stop_without_confirmation{10};
 
 }  // namespace
@@ -77,6 +81,10 @@
     follow_link(now, out);
     flows_.on_tick(now, out);
     pass_events(now, out);
+    if (requests_drain_at_ && *requests_drain_at_ <= now) {
+        requests_drain_at_.reset();
+        requests_.set_draining(true);
+    }
     requests_.on_tick(now, out);
     report_empty(now);
 }
@@ -96,7 +104,8 @@
     }
     draining_ = true;
     flows_.set_draining(true);
-    requests_.set_draining(true);
+    flows_.announce_draining(out);
+    requests_drain_at_ = now + drain_grace;
     link_.set_state(node_state::draining);
     follow_link(now, out);
 }
@@ -173,8 +182,8 @@
 
 void agent::report_empty(time_point now)
 {
-    empty_ = draining_ && flows_.flows() == 0 && flows_.waiting() == 0 && requests_.in_progress() == 0 &&
-             requests_.quiet(now);
+    empty_ = draining_ && !requests_drain_at_ && flows_.flows() == 0 && flows_.waiting() == 0 &&
+             requests_.in_progress() == 0 && requests_.quiet(now);
     if (empty_) {
         link_.set_state(node_state::leaving);
     }
--- a/src/libperidotcleat/connection/flow_owner.cpp
+++ b/src/libperidotcleat/connection/flow_owner.cpp
@@ -380,6 +380,15 @@
     report_load(now, out);
 }
 
+void flow_owner::announce_draining(outbox& out) const
+{
+    for (const auto& [key, flow] : held_.all()) {
+        wire::flow_draining notice;
+        notice.token = flow.token.value;
+        out.reply(key, std::move(notice));
+    }
+}
+
 std::vector<flow_event> flow_owner::take_events() { return std::exchange(events_, {}); }
 
 std::optional<flow_key> flow_owner::key_of(flow_token token) const
