Build all measurements into peridotcleat-bench

Cause: each subject printed its lines by its own code, and misses of bounds did not reach the exit code. Change: bench.h has one print, one line fit and one CPU clock; bench_forward measures the data path on loopback.

--- a/src/bench/bench_flows.cpp
+++ b/src/bench/bench_flows.cpp
@@ -15,13 +15,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bench.h"
 #include "peridotcleat/balancer.h"
 #include "peridotcleat/flow_owner.h"
 #include "testing/table_source.h"
 
-namespace peridotcleat {
-
-void bench_flows(std::uint64_t seed);
+namespace peridotcleat::bench {
 
 namespace {
 
@@ -39,9 +38,7 @@
 
 void print(const bench_line& line, std::uint64_t seed)
 {
-    std::printf("name=%s value=%.4g unit=%s bound=%.4g baseline=%.4g seed=%llu verdict=%s\n",
-                line.name.c_str(), line.value, line.unit, line.bound, line.baseline,
-                static_cast<unsigned long long>(seed), line.value <= line.bound ? "pass" : "fail");
+    print(measurement{line.name, line.value, line.unit, line.bound, line.baseline}, seed);
 }
 
 // One flow as its caller, the agents and both baselines know it.
@@ -573,4 +570,4 @@
     measure_broken(seed);
 }
 
-}  // namespace peridotcleat
+}  // namespace peridotcleat::bench
--- a/src/bench/bench_requests.cpp
+++ b/src/bench/bench_requests.cpp
@@ -8,9 +8,10 @@
 #include <tuple>
 #include <vector>
 
+#include "bench.h"
 #include "testing/request_world.h"
 
-namespace peridotcleat {
+namespace peridotcleat::bench {
 
 namespace {
 
@@ -30,9 +31,9 @@
 
 void print(const figure& f, std::uint64_t seed)
 {
-    const bool pass = f.at_least ? f.value >= f.bound : f.value <= f.bound;
-    std::printf("name=%s value=%.4f unit=%s bound=%.4f baseline=%.4f seed=%llu verdict=%s\n", f.name, f.value,
-                f.unit, f.bound, f.baseline, static_cast<unsigned long long>(seed), pass ? "pass" : "fail");
+    print(measurement{f.name, f.value, f.unit, f.bound, f.baseline,
+                      f.at_least ? bound_kind::at_least : bound_kind::at_most},
+          seed);
 }
 
 // The two ways of handling load that are compared in one run.
@@ -368,4 +369,4 @@
     bench_memory(seed);
 }
 
-}  // namespace peridotcleat
+}  // namespace peridotcleat::bench
--- a/src/bench/bench_table.cpp
+++ b/src/bench/bench_table.cpp
@@ -1,5 +1,3 @@
-#include "bench/bench_table.h"
-
 #include <malloc.h>
 
 #include <algorithm>
@@ -14,6 +12,7 @@
 #include <vector>
 
 #include "bench/allocations.h"
+#include "bench/bench.h"
 #include "peridotcleat/balancer.h"
 #include "peridotcleat/table_copy.h"
 #include "testing/table_source.h"
@@ -37,28 +36,6 @@
 constexpr double route_limit_ns = 250;
 constexpr cluster_id any_cluster{1};
 
-struct measurement {
-    std::string_view name;
-    double value = 0;
-    std::string_view unit;
-    double bound = 0;
-    double baseline = 0;
-};
-
-void print(const measurement& m, std::uint64_t seed)
-{
-    std::cout << "name=" << m.name << " value=" << m.value << " unit=" << m.unit << " bound=" << m.bound
-              << " baseline=" << m.baseline << " seed=" << seed
-              << " verdict=" << (m.value <= m.bound ? "pass" : "fail") << '\n';
-}
-
-double cpu_us()
-{
-    timespec t{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-    return static_cast<double>(t.tv_sec) * 1e6 + static_cast<double>(t.tv_nsec) * 1e-3;
-}
-
 // Median processor time of `f` over five calls, in microseconds.
 template <class F>
 double median_cpu_us(F&& f)
@@ -248,34 +225,6 @@
     print({"allocation_counter_misses", allocation_count() > before ? 0.0 : 1.0, "count", 0, 0}, seed);
 }
 
-struct line_fit {
-    double slope = 0;
-    double constant = 0;
-    /// Largest distance of a point from the line, in the unit of the points.
-    double residual = 0;
-};
-
-line_fit fit(const std::vector<std::pair<double, double>>& points)
-{
-    double mean_x = 0;
-    double mean_y = 0;
-    for (const auto& [x, y] : points) {
-        mean_x += x / static_cast<double>(points.size());
-        mean_y += y / static_cast<double>(points.size());
-    }
-    double xy = 0;
-    double xx = 0;
-    for (const auto& [x, y] : points) {
-        xy += (x - mean_x) * (y - mean_y);
-        xx += (x - mean_x) * (x - mean_x);
-    }
-    line_fit f{xy / xx, mean_y - xy / xx * mean_x, 0};
-    for (const auto& [x, y] : points) {
-        f.residual = std::max(f.residual, std::abs(y - f.constant - f.slope * x));
-    }
-    return f;
-}
-
 struct node_costs {
     double memory = 0;      // of table and routes, bytes
     double load_us = 0;     // full transfer and build of all routes
@@ -288,12 +237,11 @@
 {
     node_costs costs;
     std::vector<service_id> touched;
-    const auto heap = [] { return static_cast<double>(mallinfo2().uordblks + mallinfo2().hblkhd); };
-    const double heap_before = heap();
+        const double heap_before = heap_bytes();
     auto node = std::make_unique<table_copy>();
     pull_all(*node, origin, touched);
     auto routes = route_table::build(node->table());
-    costs.memory = heap() - heap_before;
+    costs.memory = heap_bytes() - heap_before;
     costs.load_us = median_cpu_us([&] {
         table_copy copy;
         pull_all(copy, origin, touched);
--- /dev/null
+++ b/src/bench/main.cpp
@@ -0,0 +1,56 @@
+// Measurements. Each prints one line: name, value, unit, bound, baseline, seed and verdict.
+
+#include "bench.h"
+#include "peridotcleat/daemon.h"
+#include "peridotcleat/settings.h"
+
+namespace {
+
+using namespace peridotcleat;
+using namespace peridotcleat::bench;
+
+const std::string usage = R"(Measures the parts of peridotcleat and prints one line for each figure.
+
+Usage:
+  peridotcleat-bench [options] [forward] [table] [control] [flows] [requests]
+
+Without a subject, all are measured. The exit code is 1 if a figure misses its bound.
+
+Options:
+  --seed=N   Seed [default: 1].
+  --help     Prints this text.
+  --version  Prints the version.
+)";
+
+struct subject {
+    const char* name;
+    void (*run)(std::uint64_t seed);
+};
+
+constexpr subject subjects[] = {{"forward", bench_forward},
+                                {"table", bench_table},
+                                {"control", bench_control},
+                                {"flows", bench_flows},
+                                {"requests", bench_requests}};
+
+int run(settings& s)
+{
+    const auto seed = static_cast<std::uint64_t>(s.integer("--seed", 0, INT64_MAX));
+    if (!s.report()) {
+        return 2;
+    }
+    bool all = true;
+    for (const subject& one : subjects) {
+        all = all && !s.flag(one.name);
+    }
+    for (const subject& one : subjects) {
+        if (all || s.flag(one.name)) {
+            one.run(seed);
+        }
+    }
+    return missed_bounds() == 0 ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) { return run_daemon(argc, argv, usage, "peridotcleat-bench", run); }
