--- a/src/testing/replica_checker.h
+++ b/src/testing/replica_checker.h
@@ -125,6 +125,19 @@
         }
     }
 
+    /// A leader of `term` that knows of commits up to `commit` holds `log`. It may have inherited several
+    /// member lists that it does not know to be committed, but adds one only if none is left.
+    static void on_leader_log(std::int64_t term, std::int64_t commit, const stored_state& log)
+    {
+        const auto pending = std::count_if(log.entries.begin(), log.entries.end(), [&](const auto& e) {
+            return e.kind == pvt::kind_members && e.index > commit;
+        });
+        const bool own = std::any_of(log.entries.begin(), log.entries.end(), [&](const auto& e) {
+            return e.kind == pvt::kind_members && e.index > commit && e.term == term;
+        });
+        require(!own || pending == 1, "two membership changes at once", pending);
+    }
+
     /// Number of processes that accept changes at this moment.
     static void on_accepting(int leaders)
     {
--- a/src/testing/replica_group.h
+++ b/src/testing/replica_group.h
@@ -224,6 +224,7 @@
         checker.on_term(h.disk->folder(), h.disk->durable().hard.term);
         if (r.is_leader()) {
             formed_ = formed_ || all_are_voters(h);
+            replica_checker::on_leader_log(r.term(), r.commit_index(), h.disk->current());
             checker.on_leader(r.term(), h.disk->current(), r.members());
             checker.on_voters(r.commit_index(), r.members(),
                               [&](std::int64_t folder) { return find(folder); });
