Report a lost node before a relay forgets it

A control process that was frozen for more than 12 s forgot nodes that it had reported alive, without ever reporting them silent; the leader went on counting them as heard whenever that process was. Relays now keep such a node until its loss is acknowledged, and a report of more than 12 s of silence removes the sighting at the parent.

--- a/src/include/peridotcleat/control.h
+++ b/src/include/peridotcleat/control.h
@@ -156,7 +156,7 @@
     /// `not_leader` if the leadership was lost meanwhile.
     [[nodiscard]] result<bool> read_ready(const read_ticket& read) const
     {
-        const auto ready = replica_.read_ready(read);
+        auto ready = replica_.read_ready(read);
         if (!has_value(ready)) {
             return ready;
         }
--- a/src/include/peridotcleat/relay.h
+++ b/src/include/peridotcleat/relay.h
@@ -127,7 +127,7 @@
     void count_bytes(time_point now, std::size_t bytes);
     void take_children(time_point now, const wire::relay_report& report, const lower_relay& from);
     void forget_sightings(std::uint32_t via);
-    void forget_silent(time_point now);
+    void forget_silent(time_point now, bool has_parent);
     void send_report(time_point now, incarnation own, std::int64_t nonce, const endpoint& parent,
                      outbox& out);
     [[nodiscard]] time_point heard_at(const sighting& s) const;
--- a/src/libperidotcleat/version/relay.cpp
+++ b/src/libperidotcleat/version/relay.cpp
@@ -262,7 +262,13 @@
         const incarnation id{child.node};
         const milliseconds silent{child.silent_ms};
         const bool live = silent < silence_limit;
-        if (!id.valid() || (!live && silent > forget_limit)) {
+        if (!id.valid()) {
+            continue;
+        }
+        if (silent > forget_limit) {
+            if (const auto it = nodes_.find(id); it != nodes_.end()) {
+                std::erase_if(it->second.sightings, [&](const sighting& s) { return s.via == from.number; });
+            }
             continue;
         }
         node_record& record = nodes_[id];
@@ -313,14 +319,19 @@
     return summary(it->second);
 }
 
-void relay::forget_silent(time_point now)
+void relay::forget_silent(time_point now, bool has_parent)
 {
     const auto silent = [now](time_point heard) { return now - heard > forget_limit; };
     std::erase_if(children_, [&](const child_state& c) { return silent(c.heard); });
     for (auto& [id, record] : nodes_) {
         std::erase_if(record.sightings, [&](const sighting& s) { return silent(heard_at(s)); });
     }
-    std::erase_if(nodes_, [](const auto& n) { return n.second.sightings.empty(); });
+    // The parent must hear that a node is lost before it is forgotten here, or it would count as alive there
+    // for as long as this process does.
+    std::erase_if(nodes_, [&](const auto& n) {
+        const bool counts_above = has_parent && n.second.reported && n.second.reported_live;
+        return n.second.sightings.empty() && !counts_above;
+    });
     for (auto it = lower_.begin(); it != lower_.end();) {
         if (silent(it->second.heard)) {
             lower_heard_.erase(it->second.number);
@@ -335,7 +346,7 @@
 {
     if (now - last_cleaned_ >= report_interval) {
         last_cleaned_ = now;
-        forget_silent(now);
+        forget_silent(now, parent.valid());
     }
     if (!parent.valid()) {
         return;
@@ -374,7 +385,8 @@
         }
         const bool known = !full_due_ && record.reported && record.reported_live == live &&
                            record.reported_revision == state.confirmed;
-        if (known || record.sightings.empty()) {
+        const bool lost = record.sightings.empty();
+        if (known || (lost && (full_due_ || !record.reported_live))) {
             continue;
         }
         if (report.children.size() == max_children_per_report) {
@@ -385,9 +397,11 @@
         child.node = id.value;
         child.revision = state.confirmed.value;
         // How long a live child was silent is of no use, and zero is the shortest to send.
-        child.silent_ms = live ? 0
-                               : static_cast<std::int32_t>(
-                                     std::chrono::duration_cast<milliseconds>(now - state.heard).count());
+        child.silent_ms = 0;
+        if (!live) {
+            const auto silent = std::chrono::duration_cast<milliseconds>(now - state.heard);
+            child.silent_ms = static_cast<std::int32_t>(std::min(silent, max_age).count());
+        }
         report.children.push_back(child);
     }
     urgent_ = more;
--- a/src/testing/control_cluster.h
+++ b/src/testing/control_cluster.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <time.h>
-
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 #include <functional>
 #include <memory>
 #include <optional>
--- a/src/testing/control_run.h
+++ b/src/testing/control_run.h
@@ -123,7 +123,7 @@
         }
     }
 
-    std::size_t index_of(const control_host& c) const { return (c.at.address & 0xffffU) - 1; }
+    [[nodiscard]] static std::size_t index_of(const control_host& c) { return (c.at.address & 0xffffU) - 1; }
 
     void observe_control(control_host& c)
     {
