--- a/src/libperidotcleat/connection/flow_handover.cpp
+++ b/src/libperidotcleat/connection/flow_handover.cpp
@@ -49,7 +49,12 @@
 {
     pvt::bucket_set buckets;
     for (std::size_t i = 0; i < bucket_count; ++i) {
-        buckets[i] = directory_.at(i).owned && !directory_.at(i).complete;
+        pvt::bucket_state& b = directory_.at(i);
+        buckets[i] = b.owned && !b.complete;
+        if (buckets[i]) {
+            // Holds for the new owner too: it may place a flow elsewhere and then get a former owner's offer.
+            b.fence = std::max(b.fence, table_revision());
+        }
     }
     std::vector<incarnation> others;
     for (const route_target& t : service_routes_->targets) {
