Start a handover anew when a later owner was passed over

A query that is newer than the agent's last handover of a bucket now always ends the agent's readiness.

--- a/src/libperidotcleat/connection/flow_handover.cpp
+++ b/src/libperidotcleat/connection/flow_handover.cpp
@@ -109,20 +109,28 @@
         peers_[owner].load = 0;
     }
     const pvt::bucket_set buckets = pvt::buckets_from_wire(query.buckets);
+    bool restart = false;
     for (std::size_t i = 0; i < bucket_count; ++i) {
-        if (!buckets[i]) {
+        pvt::bucket_state& b = directory_.at(i);
+        if (!buckets[i] || revision{query.revision} <= b.fence) {
             continue;
         }
-        pvt::bucket_state& b = directory_.at(i);
-        b.fence = std::max(b.fence, revision{query.revision});
-        if (b.owned && b.fence > table_revision()) {
-            // Another target owns the bucket in a newer table and may place flows that this directory lacks.
-            b.ready = false;
-            b.complete = false;
-            b.fenced = true;
+        b.fence = revision{query.revision};
+        if (!b.owned) {
+            continue;
         }
+        // Another target owns the bucket in a later table than that of the last handover here, and may place
+        // flows that this directory lacks. This agent's table may have passed over that one.
+        b.ready = false;
+        b.complete = false;
+        b.fenced = b.fence > table_revision();
+        b.since = now;
+        restart = restart || !b.fenced;
     }
     send_report(query, buckets, out);
+    if (restart) {
+        start_round(now, out);
+    }
 }
 
 void flow_owner::send_report(const wire::bucket_query& query, const pvt::bucket_set& buckets,
