--- a/src/bench/bench_control.cpp
+++ b/src/bench/bench_control.cpp
@@ -12,11 +12,10 @@
 #include <string>
 #include <vector>
 
+#include "bench.h"
 #include "testing/control_cluster.h"
 
-namespace peridotcleat {
-
-void bench_control(std::uint64_t seed);
+namespace peridotcleat::bench {
 
 namespace {
 
@@ -31,10 +30,9 @@
 void print(const std::string& name, double value, const char* unit, double bound, double baseline,
            std::uint64_t seed)
 {
-    const bool pass = bound <= 0 || value <= bound;
-    std::cout << "name=" << name << " value=" << value << " unit=" << unit << " bound=" << bound
-              << " baseline=" << baseline << " seed=" << seed << " verdict=" << (pass ? "pass" : "fail")
-              << '\n';
+    print(
+        measurement{name, value, unit, bound, baseline, bound <= 0 ? bound_kind::none : bound_kind::at_most},
+        seed);
 }
 
 // Zones 5 ms apart with jitter and 2 % loss, as the users' networks have them.
@@ -438,35 +436,14 @@
 }
 
 // Least-squares line through `points` and the largest distance from it, in percent of the largest value.
-struct fitted_line {
-    double slope = 0;
-    double residual_percent = 0;
-};
-
-fitted_line fit(const std::vector<std::pair<double, double>>& points)
+// Largest distance of a point from the line, in percent of the largest value.
+double residual_percent(const line_fit& line, const std::vector<std::pair<double, double>>& points)
 {
-    const auto n = static_cast<double>(points.size());
-    double sx = 0;
-    double sy = 0;
-    double sxx = 0;
-    double sxy = 0;
-    for (const auto& [x, y] : points) {
-        sx += x;
-        sy += y;
-        sxx += x * x;
-        sxy += x * y;
-    }
-    fitted_line line;
-    line.slope = ((n * sxy) - (sx * sy)) / ((n * sxx) - (sx * sx));
-    const double offset = (sy - (line.slope * sx)) / n;
     double highest = 1e-9;
-    double distance = 0;
     for (const auto& [x, y] : points) {
         highest = std::max(highest, std::abs(y));
-        distance = std::max(distance, std::abs(y - offset - (line.slope * x)));
     }
-    line.residual_percent = 100 * distance / highest;
-    return line;
+    return 100 * line.residual / highest;
 }
 
 struct axis {
@@ -505,11 +482,11 @@
                 for (const auto& [x, costs] : runs) {
                     points.emplace_back(x, costs[role].*q.field);
                 }
-                const fitted_line line = fit(points);
+                const line_fit line = fit(points);
                 const std::string name =
                     std::string("control_slope_") + role_names[role] + '_' + q.name + "_per_" + a.name;
-                print(name, line.slope, q.unit, 0, 0, seed);
-                print(name + "_residual", line.residual_percent, "percent", 0, 0, seed);
+                print(name, line.slope, q.unit, 0, line.constant, seed);
+                print(name + "_residual", residual_percent(line, points), "percent", 0, 0, seed);
             }
         }
     }
@@ -552,4 +529,4 @@
     bench_slopes(seed);
 }
 
-}  // namespace peridotcleat
+}  // namespace peridotcleat::bench
--- a/src/bench/bench_table.cpp
+++ b/src/bench/bench_table.cpp
@@ -237,7 +237,7 @@
 {
     node_costs costs;
     std::vector<service_id> touched;
-        const double heap_before = heap_bytes();
+    const double heap_before = heap_bytes();
     auto node = std::make_unique<table_copy>();
     pull_all(*node, origin, touched);
     auto routes = route_table::build(node->table());
