Give up on a control process that is connected but silent

Cause: processes_test froze the leader (SIGSTOP); the command waited for its answer without end, although two others could have accepted. The timeout of a POCO session has no effect on a socket that was connected before. Ruled out: the election (the other cases pass with a killed leader); the command's own limit, which is only looked at between calls. Change: http_call sets the timeouts on the socket.

--- a/src/libperidotcleat/process/admin_server.cpp
+++ b/src/libperidotcleat/process/admin_server.cpp
@@ -155,6 +155,9 @@
         const Poco::Timespan limit(std::chrono::microseconds(timeout).count());
         socket.connect(to_socket_address(to), limit);
         connected = true;
+        // A session that is given a connected socket does not put its own timeout in force.
+        socket.setReceiveTimeout(limit);
+        socket.setSendTimeout(limit);
         Poco::Net::HTTPClientSession session(socket);
         session.setTimeout(limit);
         Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
--- a/src/libperidotcleat/process/admin_server_test.cpp
+++ b/src/libperidotcleat/process/admin_server_test.cpp
@@ -1,11 +1,13 @@
 #include "peridotcleat/admin_server.h"
 
+#include <Poco/Net/ServerSocket.h>
 #include <gtest/gtest.h>
 
 #include "peridotcleat/counters.h"
 #include "peridotcleat/daemon.h"
 #include "peridotcleat/distribution.h"
 #include "peridotcleat/event_loop.h"
+#include "peridotcleat/net_address.h"
 
 namespace peridotcleat {
 namespace {
@@ -54,6 +56,17 @@
     EXPECT_EQ(failure(answer).code, error_code::upstream_unreachable);
 }
 
+// Guards against a command that waits for ever for a process that is frozen.
+TEST(http_call, silent_server_gives_outcome_unknown)
+{
+    Poco::Net::ServerSocket silent;
+    silent.bind(to_socket_address({0x7f000702U, 18103}), true, false);
+    silent.listen();
+    const auto answer = http_call({0x7f000702U, 18103}, "POST", "/", "x", 200ms);
+    ASSERT_FALSE(has_value(answer));
+    EXPECT_EQ(failure(answer).code, error_code::outcome_unknown);
+}
+
 // Guards against messages, posted tasks and refusals that the loop drops, and against a loop that never ends.
 TEST(event_loop, delivers_messages_and_tasks_and_counts_bad_datagrams)
 {
