--- a/src/include/peridotcleat/bucket_directory.h
+++ b/src/include/peridotcleat/bucket_directory.h
@@ -99,7 +99,7 @@
     /// Returns the targets whose query is due, and gives each a new query id.
     struct due_query {
         incarnation target;
-        std::int64_t query_id;
+        std::int64_t query_id = 0;
     };
     std::vector<due_query> take_due(time_point now);
 
--- a/src/include/peridotcleat/held_flows.h
+++ b/src/include/peridotcleat/held_flows.h
@@ -38,7 +38,7 @@
     void set(time_point now, const flow_key& key, const Value& value)
     {
         records_.insert_or_assign(key, record{now, value});
-        order_.push_back({now, key});
+        order_.emplace_back(now, key);
         if (order_.size() > max_records) {
             forget_first();
         }
