Order attempts and answers of the control test by count instead of time

The check compared times; it now compares the number of attempts, which is as strict and has no ties.

--- a/src/testing/control_checker.h
+++ b/src/testing/control_checker.h
@@ -68,10 +68,10 @@
     }
 
     /// An operator starts an attempt for a patch.
-    void on_attempt(time_point now, const wire::patch& p) { last_attempt_[p.patch_id] = now; }
+    void on_attempt(const wire::patch& p) { ++attempts_[p.patch_id]; }
 
     /// An operator got an answer for a patch that it was still waiting for.
-    void on_answer(time_point now, const wire::patch& p, const patch_answer& a)
+    void on_answer(const wire::patch& p, const patch_answer& a)
     {
         const auto accepted = by_patch_.find(p.patch_id);
         const bool is_accepted = accepted != by_patch_.end();
@@ -92,7 +92,7 @@
             break;
         case patch_status::not_accepted:
             require(!is_accepted, p.patch_id + ": not accepted although accepted", a.version.value);
-            not_accepted_[p.patch_id] = now;
+            not_accepted_[p.patch_id] = attempts_[p.patch_id];
             break;
         case patch_status::outcome_unknown: break;
         }
@@ -180,7 +180,7 @@
         require(!refused_.contains(record.patch_id), record.patch_id + ": accepted after it was refused",
                 version.value);
         const auto no = not_accepted_.find(record.patch_id);
-        require(no == not_accepted_.end() || last_attempt_[record.patch_id] > no->second,
+        require(no == not_accepted_.end() || attempts_[record.patch_id] > no->second,
                 record.patch_id + ": accepted after it was not, without another attempt", version.value);
         require(record.time_ms >= last_time_ms_, "time in entries went back", record.time_ms);
         last_time_ms_ = record.time_ms;
@@ -208,10 +208,11 @@
     std::map<revision, std::uint64_t> digests_;
     std::map<config_version, std::string> by_version_;
     std::map<std::string, acceptance> by_patch_;
-    std::map<std::string, time_point> last_attempt_;
+    std::map<std::string, std::size_t> attempts_;
     std::set<std::string> answered_accepted_;
     std::set<std::string> refused_;
-    std::map<std::string, time_point> not_accepted_;
+    // Number of attempts that were made when "not accepted" was answered.
+    std::map<std::string, std::size_t> not_accepted_;
     std::map<endpoint, std::map<incarnation, time_point>> joins_;
     incarnation last_join_;
     std::int64_t last_time_ms_ = 0;
--- a/src/testing/control_run.h
+++ b/src/testing/control_run.h
@@ -144,7 +144,7 @@
 
     void take_answer(patch_operator& o, const patch_answer& a)
     {
-        checker_.on_answer(cluster_.net().now(), *o.patch, a);
+        checker_.on_answer(*o.patch, a);
         ++answers_[static_cast<std::size_t>(a.status)];
         o.waiting = {};
         const bool done = a.status != patch_status::outcome_unknown && a.status != patch_status::not_accepted;
@@ -210,7 +210,7 @@
         o.generation = generations_[o.process];
         o.asked = cluster_.net().now();
         o.patience = milliseconds(2000 + pick(10000));
-        checker_.on_attempt(o.asked, *o.patch);
+        checker_.on_attempt(*o.patch);
         o.waiting = c.role->submit_patch(o.asked, skewed_wall(), *o.patch, o.attempts++ == 0);
         cluster_.settle(c);
     }
