--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -18,7 +18,9 @@
 using namespace peridotcleat;
 using namespace std::chrono_literals;
 
-const std::string usage = std::string(R"(Stands beside one upstream: holds its flows and admits its requests.
+std::string usage()
+{
+    return std::string(R"(Stands beside one upstream: holds its flows and admits its requests.
 
 Usage:
   peridotcleat-agent [options]
@@ -30,7 +32,8 @@
   --queue=N         Requests that may wait for each slot [default: 4].
   --idle-ms=N       Time after which a silent flow is closed [default: 3600000].
   --stop-ms=N       Longest time that a stop waits for requests and flows [default: 10000].)") +
-                          daemon_options;
+           daemon_options();
+}
 
 // Connects the role, which belongs to the loop's thread, with the threads of the HTTP server and client.
 class agent_host {
@@ -191,7 +194,7 @@
         });
     }
 
-    std::string render() const
+    [[nodiscard]] std::string render() const
     {
         const agent_status a = role_.status();
         Poco::JSON::Object o(Poco::JSON_PRESERVE_KEY_ORDER);
@@ -290,4 +293,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) { return run_daemon(argc, argv, usage, "peridotcleat-agent", run); }
+int main(int argc, char** argv) { return run_daemon(argc, argv, usage(), "peridotcleat-agent", run); }
--- a/src/balancer/main.cpp
+++ b/src/balancer/main.cpp
@@ -14,7 +14,9 @@
 using namespace peridotcleat;
 using namespace std::chrono_literals;
 
-const std::string usage = std::string(R"(Forwards callers' packets to the agents beside the upstreams.
+std::string usage()
+{
+    return std::string(R"(Forwards callers' packets to the agents beside the upstreams.
 
 Usage:
   peridotcleat-balancer [options]
@@ -24,7 +26,8 @@
   --parents=A     Control processes to take the table from, separated by commas.
   --workers=N     Threads that forward packets [default: 2].
   --leave-ms=N    Time between announcing the stop and stopping [default: 1000].)") +
-                          daemon_options;
+           daemon_options();
+}
 
 // What the HTTP interface shows; written by the loop's thread.
 struct shown_status {
@@ -122,4 +125,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) { return run_daemon(argc, argv, usage, "peridotcleat-balancer", run); }
+int main(int argc, char** argv) { return run_daemon(argc, argv, usage(), "peridotcleat-balancer", run); }
--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -47,6 +47,7 @@
 void bench_forward(std::uint64_t seed);
 void bench_table(std::uint64_t seed);
 void bench_control(std::uint64_t seed);
+void bench_scale(std::uint64_t seed);
 void bench_flows(std::uint64_t seed);
 void bench_requests(std::uint64_t seed);
 
--- a/src/bench/bench_control.cpp
+++ b/src/bench/bench_control.cpp
@@ -479,6 +479,7 @@
         for (std::size_t role = 0; role < role_names.size(); ++role) {
             for (const quantity& q : quantities) {
                 std::vector<std::pair<double, double>> points;
+                points.reserve(runs.size());
                 for (const auto& [x, costs] : runs) {
                     points.emplace_back(x, costs[role].*q.field);
                 }
@@ -526,7 +527,8 @@
 {
     bench_spread(seed);
     bench_drains(seed);
-    bench_slopes(seed);
 }
 
+void bench_scale(std::uint64_t seed) { bench_slopes(seed); }
+
 }  // namespace peridotcleat::bench
--- a/src/bench/bench_forward.cpp
+++ b/src/bench/bench_forward.cpp
@@ -55,7 +55,7 @@
     sink(sink&&) = delete;
     sink& operator=(sink&&) = delete;
 
-    std::uint64_t count() const { return count_; }
+    [[nodiscard]] std::uint64_t count() const { return count_; }
 
 private:
     void run()
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,5 +1,7 @@
 // Measurements. Each prints one line: name, value, unit, bound, baseline, seed and verdict.
 
+#include <array>
+
 #include "bench.h"
 #include "peridotcleat/daemon.h"
 #include "peridotcleat/settings.h"
@@ -12,9 +14,10 @@
 const std::string usage = R"(Measures the parts of peridotcleat and prints one line for each figure.
 
 Usage:
-  peridotcleat-bench [options] [forward] [table] [control] [flows] [requests]
+  peridotcleat-bench [options] [forward] [table] [control] [flows] [requests] [scale]
 
-Without a subject, all are measured. The exit code is 1 if a figure misses its bound.
+Without a subject, all are measured. "scale" measures how the cost of control grows with nodes, upstreams,
+addresses and changes. The exit code is 1 if a figure misses its bound.
 
 Options:
   --seed=N   Seed [default: 1].
@@ -27,11 +30,12 @@
     void (*run)(std::uint64_t seed);
 };
 
-constexpr subject subjects[] = {{"forward", bench_forward},
-                                {"table", bench_table},
-                                {"control", bench_control},
-                                {"flows", bench_flows},
-                                {"requests", bench_requests}};
+constexpr std::array<subject, 6> subjects{{{"forward", bench_forward},
+                                           {"table", bench_table},
+                                           {"control", bench_control},
+                                           {"flows", bench_flows},
+                                           {"requests", bench_requests},
+                                           {"scale", bench_scale}}};
 
 int run(settings& s)
 {
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -16,8 +16,9 @@
 using namespace peridotcleat;
 using namespace std::chrono_literals;
 
-const std::string usage =
-    std::string(R"(Keeps the table of services and nodes, one of a group of three to seven.
+std::string usage()
+{
+    return std::string(R"(Keeps the table of services and nodes, one of a group of three to seven.
 
 Usage:
   peridotcleat-control [options]
@@ -27,7 +28,8 @@
   --peers=A           All control processes, this one included, as name=a.b.c.d:port separated by commas.
   --bootstrap         Forms a new cluster if the data folders of all peers are new.
   --snapshot-after=N  Log entries after which a snapshot is written [default: 4096].)") +
-    daemon_options;
+           daemon_options();
+}
 
 constexpr std::size_t max_peers = 7;
 
@@ -210,4 +212,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) { return run_daemon(argc, argv, usage, "peridotcleat-control", run); }
+int main(int argc, char** argv) { return run_daemon(argc, argv, usage(), "peridotcleat-control", run); }
--- a/src/include/peridotcleat/admin_server.h
+++ b/src/include/peridotcleat/admin_server.h
@@ -17,7 +17,7 @@
     /// Path without the query.
     std::string path;
     /// Value of a query parameter, or empty.
-    std::string query(const std::string& name) const;
+    [[nodiscard]] std::string query(const std::string& name) const;
     std::vector<std::pair<std::string, std::string>> parameters;
     std::string body;
 };
--- a/src/include/peridotcleat/daemon.h
+++ b/src/include/peridotcleat/daemon.h
@@ -27,7 +27,7 @@
 };
 
 /// Lines for a daemon's docopt text that describe the shared settings.
-extern const char* const daemon_options;
+const char* daemon_options() noexcept;
 
 /// Reads the shared settings; errors are recorded in `s`.
 daemon_settings read_daemon_settings(settings& s);
--- a/src/libperidotcleat/connection/agent_test.cpp
+++ b/src/libperidotcleat/connection/agent_test.cpp
@@ -28,7 +28,7 @@
 // The decisions of a leader on a table that it alone holds, in place of control.
 class lone_leader {
 public:
-    explicit lone_leader(testing::fake_network& net) : net_(&net)
+    explicit lone_leader(testing::fake_network& net)
     {
         testing::fill_table(table_, 0, 0, 0);
         apply(
@@ -79,7 +79,6 @@
         }
     }
 
-    testing::fake_network* net_;
     counters counted_;
     table_state table_;
     membership members_{{}, counted_};
@@ -109,7 +108,7 @@
     };
 
     struct caller_host {
-        std::uint32_t address;
+        std::uint32_t address = 0;
         counters counted;
         std::unique_ptr<caller> role;
         std::uint64_t submitted = 0;
--- a/src/libperidotcleat/process/daemon.cpp
+++ b/src/libperidotcleat/process/daemon.cpp
@@ -9,20 +9,6 @@
 
 namespace peridotcleat {
 
-const char* const daemon_options = R"(
-  --name=S        Name of this process, unique in the cluster.
-  --zone=S        Availability zone of this process.
-  --listen=A      Address for messages of other processes, a.b.c.d:port (UDP).
-  --admin=A       Address of the HTTP interface.
-  --cluster=N     Id of the cluster; messages of others are refused [default: 1].
-  --log=S         Lowest level that is logged: debug, info, warning or error [default: info].
-  --check         Validates the settings and exits.
-  --help          Prints this text.
-  --version       Prints the version.
-
-Each flag can be given as an environment variable instead: --data-folder as PERIDOTCLEAT_DATA_FOLDER.
-)";
-
 namespace {
 
 constexpr std::size_t max_name = 64;
@@ -56,6 +42,23 @@
 
 }  // namespace
 
+const char* daemon_options() noexcept
+{
+    return R"(
+  --name=S        Name of this process, unique in the cluster.
+  --zone=S        Availability zone of this process.
+  --listen=A      Address for messages of other processes, a.b.c.d:port (UDP).
+  --admin=A       Address of the HTTP interface.
+  --cluster=N     Id of the cluster; messages of others are refused [default: 1].
+  --log=S         Lowest level that is logged: debug, info, warning or error [default: info].
+  --check         Validates the settings and exits.
+  --help          Prints this text.
+  --version       Prints the version.
+
+Each flag can be given as an environment variable instead: --data-folder as PERIDOTCLEAT_DATA_FOLDER.
+)";
+}
+
 daemon_settings read_daemon_settings(settings& s)
 {
     daemon_settings d;
--- a/src/libperidotcleat/version/node_link.cpp
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -89,8 +89,8 @@
 void node_link::on_newer_revision(time_point now, revision seen, outbox& out)
 {
     if (seen > table().current_revision() && now - last_pull_ >= urgent_pull_spacing) {
-        // The regular pull keeps its time: it also tries other parents, and a node with traffic would otherwise
-        // never leave a dead one.
+        // The regular pull keeps its time: it also tries other parents, and a node with traffic would
+        // otherwise never leave a dead one.
         pull(now, current_, out);
     }
 }
--- a/src/libperidotcleat/version/node_link_test.cpp
+++ b/src/libperidotcleat/version/node_link_test.cpp
@@ -7,8 +7,9 @@
 
 using namespace std::chrono_literals;
 
-// Guards against a node that never leaves a dead parent while it has traffic: each packet with a newer revision
-// caused a pull from the dead parent and postponed the regular pull, which is the one that tries other parents.
+// Guards against a node that never leaves a dead parent while it has traffic: each packet with a newer
+// revision caused a pull from the dead parent and postponed the regular pull, which is the one that tries
+// other parents.
 TEST(node_link, leaves_a_dead_parent_while_newer_revisions_arrive)
 {
     const endpoint first{1, 1};
--- a/src/testing/flow_world.h
+++ b/src/testing/flow_world.h
@@ -51,7 +51,10 @@
             add_service();
         }
         for (std::size_t i = 0; i < settings.targets * settings.services; ++i) {
-            join_target(std::next(table_.services().begin(), i % settings.services)->first, {});
+            join_target(
+                std::next(table_.services().begin(), static_cast<std::ptrdiff_t>(i % settings.services))
+                    ->first,
+                {});
         }
         for (std::size_t i = 0; i < settings.balancers; ++i) {
             add_balancer();
@@ -130,7 +133,7 @@
 
     apply_outcome apply(const wire::change& change)
     {
-        const apply_outcome outcome = table_.apply(next_revision(table_), change);
+        apply_outcome outcome = table_.apply(next_revision(table_), change);
         routes_.push_back(route_table::rebuild(*routes_.back(), table_, outcome.touched));
         for (const auto& item : nodes_) {
             deliver_version(item.second);
@@ -261,7 +264,7 @@
         if (!settings_.failures || targets.size() < 2) {
             return;
         }
-        const std::shared_ptr<node> n = targets[below(targets.size())];
+        const std::shared_ptr<node>& n = targets[below(targets.size())];
         checker_.on_target_failed(n->id, net_.now() + std::chrono::seconds(1) + settings_.max_lag);
         nodes_.erase(n->at);
         net_.remove(n->at);
