--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "peridotcleat/caller.h"
+#include "peridotcleat/daemon.h"
 #include "peridotcleat/event_loop.h"
 #include "peridotcleat/net_address.h"
 #include "peridotcleat/settings.h"
@@ -298,14 +299,8 @@
     return s;
 }
 
-int run(const std::vector<std::string>& arguments)
+int run(settings& s)
 {
-    auto parsed = settings::parse(usage, arguments, "peridotcleat-caller 0.1.0");
-    if (!has_value(parsed)) {
-        std::cerr << failure(parsed).message << '\n';
-        return 2;
-    }
-    settings s = value(std::move(parsed));
     caller_options o;
     o.service = s.address("--service");
     o.name = s.text("--name");
@@ -326,12 +321,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv)
-{
-    try {
-        return run({argv + 1, argv + argc});
-    } catch (const std::exception& e) {
-        std::cerr << e.what() << '\n';
-        return 1;
-    }
-}
+int main(int argc, char** argv) { return run_daemon(argc, argv, usage, "peridotcleat-caller", run); }
--- a/src/standin/fabric.cpp
+++ b/src/standin/fabric.cpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "peridotcleat/admin_server.h"
+#include "peridotcleat/daemon.h"
 #include "peridotcleat/event_loop.h"
 #include "peridotcleat/log.h"
 #include "peridotcleat/net_address.h"
@@ -160,14 +161,8 @@
     return {200, "{}"};
 }
 
-int run(const std::vector<std::string>& arguments)
+int run(settings& s)
 {
-    auto parsed = settings::parse(usage, arguments, "peridotcleat-fabric 0.1.0");
-    if (!has_value(parsed)) {
-        std::cerr << failure(parsed).message << '\n';
-        return 2;
-    }
-    settings s = value(std::move(parsed));
     const auto services = s.addresses("--services");
     const auto balancers = s.addresses("--balancers");
     const endpoint returns = s.address("--returns");
@@ -198,12 +193,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv)
-{
-    try {
-        return run({argv + 1, argv + argc});
-    } catch (const std::exception& e) {
-        std::cerr << e.what() << '\n';
-        return 1;
-    }
-}
+int main(int argc, char** argv) { return run_daemon(argc, argv, usage, "peridotcleat-fabric", run); }
--- a/src/standin/upstream.cpp
+++ b/src/standin/upstream.cpp
@@ -19,6 +19,7 @@
 #include <thread>
 
 #include "peridotcleat/admin_server.h"
+#include "peridotcleat/daemon.h"
 #include "peridotcleat/event_loop.h"
 #include "peridotcleat/log.h"
 #include "peridotcleat/net_address.h"
@@ -233,14 +234,8 @@
     return u;
 }
 
-int run(const std::vector<std::string>& arguments)
+int run(settings& s)
 {
-    auto parsed = settings::parse(usage, arguments, "peridotcleat-upstream 0.1.0");
-    if (!has_value(parsed)) {
-        std::cerr << failure(parsed).message << '\n';
-        return 2;
-    }
-    settings s = value(std::move(parsed));
     const upstream_settings u = read(s);
     if (!s.report()) {
         return 2;
@@ -264,12 +259,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv)
-{
-    try {
-        return run({argv + 1, argv + argc});
-    } catch (const std::exception& e) {
-        std::cerr << e.what() << '\n';
-        return 1;
-    }
-}
+int main(int argc, char** argv) { return run_daemon(argc, argv, usage, "peridotcleat-upstream", run); }
