--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -195,7 +195,7 @@
     void handle(time_point now, const endpoint& from, const wire::vote_reply& m, outbox& out);
     void start_pre_vote(time_point now, outbox& out);
     void start_election(time_point now, outbox& out);
-    void request_votes(bool pre_vote, std::int64_t term, outbox& out);
+    void request_votes(time_point now, bool pre_vote, outbox& out);
     void count_votes(time_point now, outbox& out);
     void become_leader(time_point now);
     void try_bootstrap(time_point now, outbox& out);
@@ -271,6 +271,7 @@
     // Candidates.
     std::set<std::int64_t> votes_;
     bool self_vote_durable_ = false;
+    time_point vote_resend_due_;
     // Member list that the first founder asks all founders to agree to.
     std::optional<wire::member_list> founding_;
     std::map<std::string, founder> founders_;
--- a/src/libperidotcleat/version/membership.cpp
+++ b/src/libperidotcleat/version/membership.cpp
@@ -126,7 +126,9 @@
     }
     join_history& history = history_[key];
     if (std::ranges::find(history.retired, request.nonce) != history.retired.end()) {
-        return {};
+        // A node whose place ended before it heard of it still announces this nonce and needs a new one; to a
+        // later start of the node the answer means nothing.
+        return {std::nullopt, answer(request, {}, error_code::wrong_incarnation)};
     }
     if (now < history.next_join) {
         counted_->refuse(error_code::join_delayed);
--- a/src/libperidotcleat/version/node_link.cpp
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -19,8 +19,9 @@
 constexpr milliseconds return_interval{30000};
 // How often a node whose parent has too many children tries another one.
 constexpr milliseconds move_interval{2500};
-// A pull without a reply for this long is sent again, so that one lost datagram does not cost a second.
-constexpr milliseconds reply_timeout{400};
+// A pull without a reply for this long is sent again: ten round trips between zones. Several datagrams in a
+// row must be lost before the lease of a node loses a second.
+constexpr milliseconds reply_timeout{200};
 constexpr milliseconds announce_interval{1000};
 constexpr milliseconds unknown_age{3600000};
 // 40 bits take 6 bytes in each pull; a repeat within one name is as good as impossible.
@@ -260,6 +261,11 @@
         joined(incarnation{reply.incarnation});
         find_own_entry();
     }
+    const bool retired = reply.code == static_cast<std::int32_t>(error_code::wrong_incarnation);
+    if (retired && !id_.valid() && state_ != node_state::leaving) {
+        nonce_ = draw_nonce(random_);
+        next_announce_ = {};
+    }
     if (reply.retry_after_ms > 0) {
         next_announce_ = std::max(next_announce_, now + milliseconds(reply.retry_after_ms));
     }
--- a/src/libperidotcleat/version/relay.cpp
+++ b/src/libperidotcleat/version/relay.cpp
@@ -349,6 +349,9 @@
         forget_silent(now, parent.valid());
     }
     if (!parent.valid()) {
+        // Nodes are forgotten meanwhile without a report, so the next parent gets a full one, even if it is
+        // the former one.
+        parent_ = {};
         return;
     }
     if (parent != parent_) {
--- a/src/libperidotcleat/version/replica_core.cpp
+++ b/src/libperidotcleat/version/replica_core.cpp
@@ -72,6 +72,9 @@
         pump(now, out);
         return;
     }
+    if (now >= vote_resend_due_ && (role_ == role::pre_candidate || role_ == role::candidate)) {
+        request_votes(now, role_ == role::pre_candidate, out);
+    }
     if (log_.empty()) {
         try_bootstrap(now, out);
     } else if (now >= election_due_ && is_voter(self())) {
--- a/src/libperidotcleat/version/replica_election.cpp
+++ b/src/libperidotcleat/version/replica_election.cpp
@@ -9,6 +9,8 @@
 
 // A founder repeats its join request every half second; after this time it may have been emptied.
 constexpr std::chrono::milliseconds founder_fresh{3000};
+// Ten round trips between zones.
+constexpr std::chrono::milliseconds vote_resend_interval{200};
 
 }  // namespace
 
@@ -91,7 +93,7 @@
     leader_address_.reset();
     votes_ = {self()};
     restart_election_timer(now);
-    request_votes(true, hard_.term + 1, out);
+    request_votes(now, true, out);
     count_votes(now, out);
 }
 
@@ -104,19 +106,22 @@
     write_hard_state();
     counters_->add(event::elections_started);
     restart_election_timer(now);
-    request_votes(false, hard_.term, out);
+    request_votes(now, false, out);
 }
 
-void replica_core::request_votes(bool pre_vote, std::int64_t term, outbox& out)
+// Asks the voters that have not granted their vote yet. Requests are repeated within an election: a founder
+// needs every vote, and one lost datagram must not cost it a whole election timeout.
+void replica_core::request_votes(time_point now, bool pre_vote, outbox& out)
 {
+    vote_resend_due_ = now + vote_resend_interval;
     wire::vote_request r;
     r.pre_vote = pre_vote;
-    r.term = term;
+    r.term = pre_vote ? hard_.term + 1 : hard_.term;
     r.candidate = self();
     r.last_index = log_.last_index();
     r.last_term = log_.last_term();
     for (const wire::member& m : founding_ ? founding_->members : members()) {
-        if (m.voter && m.folder_id != self()) {
+        if (m.voter && m.folder_id != self() && !votes_.contains(m.folder_id)) {
             send(from_wire(m.address), r, out);
         }
     }
