--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -3,7 +3,6 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
-#include <condition_variable>
 #include <mutex>
 #include <optional>
 #include <sstream>
@@ -49,13 +48,13 @@
             return {200, to_json(counted)};
         }
         if (r.path == "/status") {
-            return call([this](time_point, outbox&) { return admin_response{200, render()}; });
+            return loop_.call([this](time_point, outbox&) { return admin_response{200, render()}; });
         }
         if (r.method == "POST" && r.path == "/v1/upstream") {
             return offer(r.body);
         }
         if (r.method == "POST" && r.path == "/v1/upstream/drain") {
-            return call([this](time_point now, outbox& out) {
+            return loop_.call([this](time_point now, outbox& out) {
                 role_.on_upstream_draining(now, out);
                 return admin_response{200, "{}"};
             });
@@ -125,28 +124,6 @@
 private:
     static std::int64_t as_field(std::size_t n) { return static_cast<std::int64_t>(n); }
 
-    // Runs `task` on the loop's thread and waits for its answer.
-    admin_response call(std::function<admin_response(time_point, outbox&)> task)
-    {
-        struct shared_answer {
-            std::mutex mutex;
-            std::condition_variable done;
-            std::optional<admin_response> answer;
-        };
-        auto shared = std::make_shared<shared_answer>();
-        loop_.post([shared, task = std::move(task)](time_point now, outbox& out) {
-            auto answer = task(now, out);
-            const std::scoped_lock lock(shared->mutex);
-            shared->answer = std::move(answer);
-            shared->done.notify_all();
-        });
-        std::unique_lock lock(shared->mutex);
-        if (!shared->done.wait_for(lock, 5s, [&] { return shared->answer.has_value(); })) {
-            return admin_error(503, {error_code::outcome_unknown, "the agent did not answer within 5 s"});
-        }
-        return *shared->answer;
-    }
-
     admin_response offer(const std::string& body)
     {
         const auto o = Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
@@ -177,7 +154,7 @@
             }
             client_ = value(std::move(client));
         }
-        return call([this, t](time_point now, outbox& out) {
+        return loop_.call([this, t](time_point now, outbox& out) {
             role_.on_upstream_offer(now, t, out);
             return admin_response{200, "{}"};
         });
@@ -188,7 +165,7 @@
         const auto o = Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
         const flow_token token{std::stoll(o->getValue<std::string>("token"))};
         auto bytes = o->getValue<std::string>("body");
-        return call([this, token, bytes](time_point now, outbox& out) {
+        return loop_.call([this, token, bytes](time_point now, outbox& out) {
             const auto pushed = role_.push(now, token, bytes, out);
             return has_value(pushed) ? admin_response{200, "{}"} : admin_error(409, failure(pushed));
         });
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -6,10 +6,10 @@
 #include <string>
 #include <thread>
 
-#include "operator_api.h"
 #include "peridotcleat/control.h"
 #include "peridotcleat/daemon.h"
 #include "peridotcleat/file_storage.h"
+#include "peridotcleat/operator_api.h"
 
 namespace {
 
--- a/src/include/peridotcleat/admin_server.h
+++ b/src/include/peridotcleat/admin_server.h
@@ -26,6 +26,8 @@
 struct admin_response {
     int status = 200;
     std::string body;
+    /// Where to ask instead, for a redirect.
+    std::string location = {};
 };
 
 /// Builds `{"code":n,"name":"...","message":"..."}` with HTTP status `status`.
--- a/src/include/peridotcleat/control.h
+++ b/src/include/peridotcleat/control.h
@@ -76,6 +76,7 @@
         wall_ = wall;
         replica_.on_tick(now, out);
         const auto parent = leading() ? std::nullopt : replica_.leader();
+        relay_.set_parents(control_addresses());
         relay_.on_tick(now, {}, relay_nonce_, parent.value_or(endpoint{}), out);
         if (!replica_.lease_valid(now)) {
             membership_.restart_leases(now);
@@ -113,7 +114,16 @@
     ticket submit_patch(time_point now, wall_time wall, const wire::patch& patch, bool first_attempt = false)
     {
         wall_ = wall;
-        return submit({{}, patch, {}, first_attempt, now + settings_.answer_timeout});
+        return submit({{}, patch, {}, {}, first_attempt, now + settings_.answer_timeout});
+    }
+
+    /// Submits a whole description under the version that its author chose. The answer's status is `accepted`
+    /// once it is in the log, `already_accepted` if a version at least as high is in force, `invalid`, or as
+    /// for patches.
+    ticket submit_replacement(time_point now, wall_time wall, wire::replacement wanted)
+    {
+        wall_ = wall;
+        return submit({{}, {}, std::move(wanted), {}, false, now + settings_.answer_timeout});
     }
 
     /// Submits the draining of the target called `name`; the newest one if several have the name. The
@@ -121,7 +131,7 @@
     ticket submit_drain(time_point now, wall_time wall, const std::string& name)
     {
         wall_ = wall;
-        return submit({{}, {}, name, true, now + settings_.answer_timeout});
+        return submit({{}, {}, {}, name, true, now + settings_.answer_timeout});
     }
 
     /// Returns the answers that were found since the last call.
@@ -187,6 +197,17 @@
     {
     }
 
+    // Where nodes may pull from: the members of control.
+    [[nodiscard]] std::vector<endpoint> control_addresses() const
+    {
+        std::vector<endpoint> all;
+        for (const wire::member& m : replica_.members()) {
+            all.push_back(from_wire(m.address));
+        }
+        std::ranges::sort(all);
+        return all;
+    }
+
     // Takes over a snapshot, if there is one. Returns false if it is corrupt.
     bool restore()
     {
--- a/src/include/peridotcleat/event_loop.h
+++ b/src/include/peridotcleat/event_loop.h
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string_view>
 
+#include "peridotcleat/admin_server.h"
 #include "peridotcleat/counters.h"
 #include "peridotcleat/outbox.h"
 
@@ -18,8 +20,14 @@
     std::function<void(time_point, outbox&)> on_batch_end;
     /// Takes replies to callers, upstream calls and cancellations.
     std::function<void(time_point, outbox&)> on_actions;
+    /// Time between two ticks.
+    std::chrono::milliseconds tick_period{10};
 };
 
+/// Takes one datagram of a socket that does not carry messages. `from` is its sender.
+using datagram_handler =
+    std::function<void(time_point, const endpoint& from, std::string_view bytes, outbox&)>;
+
 /// Binds one role to one UDP socket and the steady clock.
 ///
 /// `post` and `stop` are thread-safe; everything else belongs to the thread that calls `run`.
@@ -34,8 +42,15 @@
     event_loop(event_loop&&) = delete;
     event_loop& operator=(event_loop&&) = delete;
 
+    /// Binds a further UDP socket whose datagrams go to `handle`. Call before `run`. Fails with
+    /// `address_in_use`.
+    result<success> listen(const endpoint& at, datagram_handler handle);
+
     /// Runs `task` on the loop's thread soon.
     void post(std::function<void(time_point, outbox&)> task);
+    /// Runs `task` on the loop's thread and waits for its answer; `outcome_unknown` with status 504 after 5
+    /// s.
+    admin_response call(std::function<admin_response(time_point, outbox&)> task);
     /// Handles events until `stop`.
     void run(const loop_handlers& handlers);
     /// Ends `run` after the current batch.
@@ -50,9 +65,9 @@
     std::unique_ptr<impl> impl_;
 };
 
-/// Blocks SIGINT and SIGTERM in the calling thread and those that it starts. Call first in `main`.
+/// Blocks SIGINT, SIGTERM and SIGHUP in the calling thread and those that it starts. Call first in `main`.
 void block_stop_signals();
-/// Waits until SIGINT or SIGTERM arrives.
-void wait_for_stop_signal();
+/// Waits until SIGINT or SIGTERM arrives. Calls `on_reload`, if given, each time SIGHUP arrives.
+void wait_for_stop_signal(const std::function<void()>& on_reload = {});
 
 }  // namespace peridotcleat
--- /dev/null
+++ b/src/include/peridotcleat/flow_routes.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "peridotcleat/hash.h"
+#include "peridotcleat/table_state.h"
+
+namespace peridotcleat {
+
+/// A target as a balancer sees it when it places flows.
+struct flow_target {
+    endpoint agent;
+    std::string zone;
+    std::uint32_t slots = 1;
+    bool draining = false;
+};
+
+/// The targets of one service.
+struct flow_service {
+    /// As in segments, see `service_key`.
+    std::int64_t key = 0;
+    std::string name;
+    std::vector<flow_target> targets;
+};
+
+/// The services that take the flows to one address, with their weights.
+struct flow_route {
+    struct backend {
+        std::shared_ptr<const flow_service> service;
+        std::uint32_t weight = 0;
+    };
+    std::vector<backend> backends;
+    /// Services that took flows until lately; they may hold open ones.
+    std::vector<std::shared_ptr<const flow_service>> formers;
+    std::uint64_t total_weight = 0;
+
+    /// Returns all services that may hold flows to the address.
+    [[nodiscard]] std::vector<const flow_service*> holders() const;
+    /// Returns the service of a new flow: the same one on every balancer that holds the same routes.
+    [[nodiscard]] const flow_service& choose(const flow_key& key) const noexcept;
+};
+
+/// Where flows between transport stacks go, derived from a table. Immutable once built.
+class flow_routes {
+public:
+    /// Derives all routes.
+    static std::shared_ptr<const flow_routes> build(const table_state& table);
+
+    /// Returns the route of `address`, or null.
+    [[nodiscard]] const flow_route* find(const endpoint& address) const noexcept;
+    /// Revision of the table.
+    [[nodiscard]] revision at() const noexcept { return at_; }
+    /// Version of the description in force.
+    [[nodiscard]] std::int64_t version() const noexcept { return version_; }
+
+private:
+    revision at_;
+    std::int64_t version_ = 0;
+    std::unordered_map<std::int64_t, flow_route> by_address_;
+};
+
+}  // namespace peridotcleat
--- a/src/include/peridotcleat/node_link.h
+++ b/src/include/peridotcleat/node_link.h
@@ -28,6 +28,8 @@
     endpoint address;
     /// Relays or control processes to pull from.
     std::vector<endpoint> parents;
+    /// The parents name others in their replies, which are then pulled from too.
+    bool discover_parents = false;
     std::chrono::milliseconds pull_interval{1000};
     /// A parent that is silent or whose state is older than this is left.
     std::chrono::milliseconds parent_timeout{3000};
@@ -54,6 +56,9 @@
     /// Changes the state that is announced. `leaving` means: holds no flow, may be removed.
     void set_state(node_state state);
 
+    /// Adds parents of changed settings.
+    void add_parents(const std::vector<endpoint>& addresses);
+
     /// Handles pull_reply, change_notice, announce_reply and stale_notice; ignores others.
     void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
     /// Sends pulls and announcements that are due. Call at least every 50 ms.
@@ -97,6 +102,7 @@
     node_link(node_link_settings settings, counters& counted);
 
     void take_reply(time_point now, const endpoint& from, const wire::pull_reply& reply, outbox& out);
+    void take_parents(const std::vector<wire::endpoint>& named);
     void take_announce_reply(time_point now, const wire::announce_reply& reply);
     void update_parent(time_point now, std::size_t index);
     void pull(time_point now, std::size_t index, outbox& out);
@@ -118,6 +124,8 @@
     std::optional<target_offer> offer_;
     bool removed_ = false;
 
+    /// Addresses that parents named last, in ascending order.
+    std::vector<endpoint> named_;
     /// In order of preference.
     std::vector<parent_state> parents_;
     std::size_t current_ = 0;
--- a/src/control/operator_api.h
+++ b/src/include/peridotcleat/operator_api.h
@@ -56,20 +56,55 @@
 template <class Control>
 class operator_api {
 public:
-    operator_api(Control& role, event_loop& loop, counters& counted)
-        : role_(role), loop_(loop), counted_(counted)
+    /// Requests are answered within `limit`, with `outcome_unknown` if nothing better is known.
+    operator_api(Control& role, event_loop& loop, counters& counted,
+                 std::chrono::milliseconds limit = std::chrono::seconds(12))
+        : role_(role), loop_(loop), counted_(counted), limit_(limit)
     {
     }
 
+    /// Submits a whole description. Status 421 names the leader in `location`, if one is known.
+    admin_response replace(wire::replacement wanted)
+    {
+        return run([this, wanted = std::move(wanted)](time_point now, const auto& answer) mutable {
+            log_event(log_level::info, "replacement_received",
+                      {{"version", wanted.version},
+                       {"routes", static_cast<std::int64_t>(wanted.routes.size())},
+                       {"in_force", role_.table().document().version},
+                       {"leading", role_.leading() ? "true" : "false"}});
+            if (!role_.leading()) {
+                answer->set(not_leader());
+                return;
+            }
+            submitted_[role_.submit_replacement(now, wall(), std::move(wanted))] = answer;
+        });
+    }
+
+    /// Returns the document of the description in force, compressed, once a quorum has confirmed that it is
+    /// the newest one; 404 if there is none.
+    admin_response document()
+    {
+        return run([this](time_point now, const auto& answer) {
+            if (!role_.leading()) {
+                answer->set(not_leader());
+                return;
+            }
+            read(now, answer, [this, answer](time_point) {
+                const stored_document& d = role_.table().document();
+                answer->set(d.version == 0
+                                ? admin_error(404, {error_code::version_conflict, "no description"})
+                                : admin_response{200, d.bytes});
+            });
+        });
+    }
+
     /// Answers one request of an operator.
     admin_response handle(const admin_request& r)
     {
         if (r.path == "/counters") {
             return {200, to_json(counted_)};
         }
-        auto answer = std::make_shared<pending_answer>();
-        loop_.post([this, r, answer](time_point now, outbox&) { start(now, r, answer); });
-        return answer->wait(answer_limit);
+        return run([this, r](time_point now, const auto& answer) { start(now, r, answer); });
     }
 
     /// Gives answers that have become known. Call after each batch of events.
@@ -85,9 +120,6 @@
     }
 
 private:
-    static constexpr std::chrono::seconds answer_limit{12};
-    static constexpr std::chrono::seconds read_limit{4};
-
     struct waiting_read {
         read_ticket read;
         time_point deadline;
@@ -95,9 +127,21 @@
         std::function<void(time_point)> then;
     };
 
-    static admin_response not_leader()
+    // Runs `task` on the loop's thread and waits for the answer that it gives.
+    admin_response run(std::function<void(time_point, const std::shared_ptr<pending_answer>&)> task)
+    {
+        auto answer = std::make_shared<pending_answer>();
+        loop_.post([answer, task = std::move(task)](time_point now, outbox&) { task(now, answer); });
+        return answer->wait(limit_);
+    }
+
+    [[nodiscard]] admin_response not_leader() const
     {
-        return admin_error(421, {error_code::not_leader, "this process is not the leader"});
+        admin_response r = admin_error(421, {error_code::not_leader, "this process is not the leader"});
+        if (const auto leader = role_.leader()) {
+            r.location = to_string(*leader);
+        }
+        return r;
     }
 
     void start(time_point now, const admin_request& r, const std::shared_ptr<pending_answer>& answer)
@@ -213,7 +257,7 @@
             answer->set(admin_error(503, failure(started)));
             return;
         }
-        reads_.push_back({value(started), now + read_limit, answer, std::move(then)});
+        reads_.push_back({value(started), now + limit_, answer, std::move(then)});
     }
 
     // Returns true if the read is over.
@@ -247,6 +291,7 @@
     Control& role_;
     event_loop& loop_;
     counters& counted_;
+    std::chrono::milliseconds limit_;
     std::map<ticket, std::shared_ptr<pending_answer>> submitted_;
     std::vector<waiting_read> reads_;
 };
--- a/src/include/peridotcleat/operator_desk.h
+++ b/src/include/peridotcleat/operator_desk.h
@@ -23,10 +23,11 @@
 
 namespace pvt {
 
-/// A patch, or the name of a target to drain.
+/// A patch, a whole description, or the name of a target to drain.
 struct operator_request {
     ticket id;
     std::optional<wire::patch> patch;
+    std::optional<wire::replacement> replacement;
     std::string drain;
     /// No other process can have proposed this request before.
     bool first_attempt = false;
--- a/src/include/peridotcleat/outbox.h
+++ b/src/include/peridotcleat/outbox.h
@@ -53,12 +53,19 @@
     std::string body;
 };
 
+/// Sends a packet as it is, without a message around it.
+struct packet_send {
+    endpoint to;
+    std::string packet;
+};
+
 /// Collects the actions of a role in the order in which they were decided.
 struct outbox {
     std::vector<send_action> sends;
     std::vector<caller_reply> replies;
     std::vector<upstream_call> calls;
     std::vector<upstream_cancel> cancels;
+    std::vector<packet_send> packets;
 
     /// Appends a message to another process.
     void send(const endpoint& to, message body) { sends.push_back({to, std::move(body)}); }
@@ -71,6 +78,7 @@
         replies.clear();
         calls.clear();
         cancels.clear();
+        packets.clear();
     }
 };
 
--- a/src/include/peridotcleat/relay.h
+++ b/src/include/peridotcleat/relay.h
@@ -27,6 +27,9 @@
     static constexpr relay_limits of_balancer() { return {9, 2600}; }
 };
 
+/// Digest of the addresses of parents, in ascending order, by which a node says which ones it knows.
+std::int64_t parents_digest(const std::vector<endpoint>& parents);
+
 /// A child of a relay or control process as last heard.
 struct child_state {
     incarnation id;
@@ -65,6 +68,9 @@
     /// Answers pull_request. `age` is the age of `table`.
     void on_pull(time_point now, const endpoint& from, const wire::pull_request& request,
                  const table_state& table, std::chrono::milliseconds age, outbox& out);
+    /// Sets the addresses that children are told to pull from, in ascending order. Without any, children keep
+    /// to those of their settings.
+    void set_parents(std::vector<endpoint> parents) { parents_ = std::move(parents); }
     /// Sends change_notice to children that lag behind `table`, after it has changed.
     void on_table_changed(time_point now, const table_state& table, outbox& out);
     /// Passes an announcement of a child to `parent`. The answer comes back to `own_address`.
@@ -140,6 +146,7 @@
 
     counters* counted_;
     relay_limits limits_;
+    std::vector<endpoint> parents_;
     // Traffic of the last second, oldest first, and its sum.
     std::deque<used_bytes> used_;
     std::size_t used_sum_ = 0;
--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -47,6 +47,8 @@
     std::chrono::milliseconds election_high{4000};
     /// Must be below `election_low`; the difference covers clocks that run at different rates.
     std::chrono::milliseconds leader_lease{1600};
+    /// A member that no leader serves for so long asks to be taken in again.
+    std::chrono::milliseconds silence_before_rejoin{10000};
 };
 
 /// Settings of a replica.
@@ -60,6 +62,10 @@
     /// Names and addresses of the first members; used with `bootstrap` only. Their folder ids are exchanged
     /// before the first election.
     std::vector<wire::member> first_members;
+    /// Number of voters that is kept without an operator: further members stand by without a vote, and one
+    /// that holds the log takes the place of a voter that falls silent. 0: every member votes until it is
+    /// removed.
+    std::size_t voters = 0;
     replica_timing timing;
     std::uint64_t seed = 0;
 };
@@ -79,7 +85,7 @@
 };
 
 /// Largest data of one log entry, in bytes.
-inline constexpr std::size_t max_entry_data = 32768;
+inline constexpr std::size_t max_entry_data = 60000;
 
 namespace pvt {
 
@@ -236,6 +242,10 @@
     void ask_to_join(time_point now, outbox& out);
     void admit(time_point now, const joiner& j);
     void promote_learner(time_point now);
+    void remove_silent_members(time_point now);
+    [[nodiscard]] const wire::member* find_ready_learner(time_point now) const;
+    [[nodiscard]] const wire::member* find_silent(time_point now, bool voter,
+                                                  std::chrono::milliseconds limit) const;
     void sync_progress(time_point now);
     [[nodiscard]] bool member_change_allowed(time_point now) const;
     void change_members(time_point now, const wire::member_list& list);
--- /dev/null
+++ b/src/include/peridotcleat/segment_agent.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "peridotcleat/counters.h"
+#include "peridotcleat/hash.h"
+#include "peridotcleat/outbox.h"
+#include "peridotcleat/segment.h"
+
+namespace peridotcleat {
+
+/// Settings of an agent for flows between transport stacks.
+struct segment_agent_settings {
+    /// Service of the target; segments for another one are not delivered.
+    std::string service;
+    /// Where the target takes packets.
+    endpoint target;
+    /// Port at which callers take packets.
+    std::uint16_t caller_port = 0;
+    segment_format format;
+    /// A target that has not announced itself for so long takes no new flows.
+    std::chrono::milliseconds announcement_timeout{3000};
+    /// Callers discard flows that are older.
+    std::chrono::seconds max_flow_age{60};
+};
+
+/// What a target says of itself.
+struct target_announcement {
+    std::string id;
+    /// Time of the target's start; an announcement of a former start is late.
+    std::int64_t started_ms = 0;
+    /// Grows with each announcement of one start.
+    std::int64_t sequence = 0;
+    std::string service;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    /// How long the target remains slow after its start.
+    std::chrono::milliseconds warmup{0};
+};
+
+/// Decides which segments reach the target beside it, and tells balancers what became of them.
+///
+/// Knows the flows of its target by the packets that pass. After a start of the agent, a flow that it does
+/// not know is offered to the target, which gives it back if it does not hold it. Has no socket, thread or
+/// clock; not thread-safe.
+class segment_agent {
+public:
+    segment_agent(segment_agent_settings settings, time_point now, counters& counted);
+
+    /// Takes an announcement of the target. Returns false if it is late or names another service; it then
+    /// changes nothing.
+    bool on_announcement(time_point now, const target_announcement& a, outbox& out);
+    /// The target has ended.
+    void on_target_left(time_point now, outbox& out);
+    /// Handles segment_forward of a balancer; ignores other messages.
+    void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
+    /// Handles a packet that the target sent or gave back.
+    void on_target_packet(time_point now, std::string_view packet, outbox& out);
+    /// Reports the load and forgets flows that have ended. Call at least every 200 ms.
+    void on_tick(time_point now, outbox& out);
+    /// Stops to take new flows, because the process ends.
+    void begin_stop(time_point now, outbox& out);
+
+    /// Announcement in force, if the target is alive.
+    [[nodiscard]] const std::optional<target_announcement>& target() const noexcept { return target_; }
+    [[nodiscard]] std::size_t flows() const noexcept { return flows_.size(); }
+
+private:
+    struct flow {
+        endpoint balancer;
+        time_point used;
+        time_point opened_at;
+        std::uint32_t target_sequence = 0;
+        // The target has offered to take the flow.
+        bool offered = false;
+        // The caller has accepted the offer, or the target has sent data.
+        bool opened = false;
+        // The caller has sent data that the target has not begun to answer.
+        bool busy = false;
+        bool closing = false;
+        // The target was asked by delivery whether it holds the flow.
+        bool probing = false;
+        bool searched = false;
+    };
+
+    using flow_map = std::unordered_map<flow_key, flow, flow_key_hash>;
+
+    void on_forward(time_point now, const endpoint& from, const wire::segment_forward& m, outbox& out);
+    void on_placement(time_point now, const endpoint& from, const segment& s, const wire::segment_forward& m,
+                      outbox& out);
+    void on_later(time_point now, const endpoint& from, const segment& s, const wire::segment_forward& m,
+                  outbox& out);
+    void on_returned(time_point now, const segment& s, std::string_view packet, outbox& out);
+    [[nodiscard]] std::optional<error_code> refusal(time_point now) const;
+    [[nodiscard]] bool knows_all_flows(time_point now) const;
+    void deliver(std::string_view packet, outbox& out);
+    void note_data(flow& f, const segment& s);
+    wire::segment_report report_of(const flow_key& key, segment_outcome outcome) const;
+    void send_load(time_point now, outbox& out);
+    [[nodiscard]] std::int32_t load_permille() const;
+    void set_busy(flow& f, bool busy);
+    void erase(flow_map::iterator it);
+
+    segment_agent_settings settings_;
+    counters* counted_;
+    std::int64_t service_key_;
+    // Flows that were open before may be unknown here.
+    time_point started_;
+    std::optional<target_announcement> target_;
+    time_point announced_;
+    time_point warm_at_;
+    std::int64_t last_started_ms_ = 0;
+    bool stopping_ = false;
+    flow_map flows_;
+    std::size_t busy_ = 0;
+    // Average number of busy flows of the last seconds.
+    double busy_average_ = 0;
+    std::size_t opened_since_tick_ = 0;
+    double young_ = 0;
+    // Earliest opening packet that the target has not answered with anything.
+    std::optional<time_point> unanswered_since_;
+    time_point last_probe_;
+    std::unordered_map<std::int64_t, time_point> balancers_;
+    time_point last_load_;
+    time_point last_cleaned_;
+};
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "peridotcleat/counters.h"
+#include "peridotcleat/flow_routes.h"
+#include "peridotcleat/outbox.h"
+#include "peridotcleat/segment.h"
+
+namespace peridotcleat {
+
+/// Settings of a balancer for flows between transport stacks.
+struct segment_balancer_settings {
+    std::string zone;
+    /// Port at which callers take packets.
+    std::uint16_t caller_port = 0;
+    segment_format format;
+    /// A target in another zone is chosen only if it is less loaded by this share of its slots, in
+    /// thousandths.
+    std::int32_t zone_penalty_permille = 500;
+};
+
+/// Places new flows on targets and passes the packets of open flows to the agent that holds them.
+///
+/// Remembers holders in a bounded cache only. A flow that is not in the cache is searched for at all targets
+/// of its service. Has no socket, thread or clock; not thread-safe.
+class segment_balancer {
+public:
+    segment_balancer(segment_balancer_settings settings, counters& counted);
+
+    /// Puts routes in force.
+    void set_routes(std::shared_ptr<const flow_routes> routes);
+    /// Handles one packet of a caller. `table_age` is the age of the routes.
+    void on_packet(time_point now, std::string_view packet, std::chrono::milliseconds table_age, outbox& out);
+    /// Handles segment_report and segment_load of agents; ignores other messages.
+    void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
+    /// Forgets flows that were silent for long. Call at least once a second.
+    void on_tick(time_point now);
+
+    /// Number of flows in the cache.
+    [[nodiscard]] std::size_t size() const noexcept { return flows_.size(); }
+    [[nodiscard]] const std::shared_ptr<const flow_routes>& routes() const noexcept { return routes_; }
+
+private:
+    // One target that was asked to take a flow.
+    struct placement {
+        endpoint agent;
+        time_point asked;
+        bool offered = false;
+        bool declined = false;
+        std::uint32_t sequence = 0;
+    };
+
+    // A search for the holder of a flow.
+    struct search {
+        time_point started;
+        std::vector<endpoint> asked;
+        std::vector<endpoint> absent;
+        std::vector<std::string> waiting;
+    };
+
+    // What is known of one flow.
+    struct flow {
+        std::int64_t service = 0;
+        std::vector<placement> placements;
+        std::optional<endpoint> holder;
+        std::unique_ptr<search> searching;
+        std::uint32_t acknowledged = 0;
+        time_point used;
+    };
+
+    // What is known of one target beyond the table.
+    struct target_load {
+        std::int32_t reported_permille = 0;
+        std::int32_t placed_since = 0;
+        time_point reported;
+        bool accepting = true;
+        std::optional<time_point> unanswered_since;
+    };
+
+    using flow_map = std::unordered_map<flow_key, flow, flow_key_hash>;
+
+    void on_opening(time_point now, const segment& s, std::string_view packet, outbox& out);
+    void on_later(time_point now, const segment& s, std::string_view packet, outbox& out);
+    void on_report(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
+    void on_offered(const flow_key& key, const endpoint& from, std::uint32_t sequence);
+    void on_held(time_point now, const flow_key& key, const endpoint& from, outbox& out);
+    void on_declined(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
+    void on_absent(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
+    void place(time_point now, const flow_key& key, flow& f, std::string_view packet, outbox& out);
+    void start_search(time_point now, const flow_key& key, std::string_view packet,
+                      std::vector<endpoint> absent, outbox& out);
+    void finish_search(const flow_key& key, outbox& out);
+    [[nodiscard]] const flow_service* service_of(const flow_key& key, std::int64_t service) const;
+    [[nodiscard]] const flow_target* best_candidate(time_point now, const flow_service& service,
+                                                    const flow& f) const;
+    [[nodiscard]] std::int64_t cost_of(time_point now, const flow_target& target) const;
+    [[nodiscard]] static std::optional<endpoint> holder_by_sequence(const flow& f,
+                                                                    std::uint32_t acknowledged);
+    void forward(const endpoint& agent, std::int64_t service, segment_purpose purpose,
+                 std::string_view packet, outbox& out);
+    void reset(const flow_key& key, std::uint32_t sequence, error_code reason, outbox& out);
+    flow& remember(time_point now, const flow_key& key);
+
+    segment_balancer_settings settings_;
+    counters* counted_;
+    std::shared_ptr<const flow_routes> routes_;
+    std::chrono::milliseconds table_age_{0};
+    flow_map flows_;
+    std::unordered_map<std::int64_t, target_load> loads_;
+    time_point last_cleaned_;
+};
+
+}  // namespace peridotcleat
--- a/src/include/peridotcleat/settings.h
+++ b/src/include/peridotcleat/settings.h
@@ -11,10 +11,18 @@
 
 namespace peridotcleat {
 
+/// Reads a settings file: one `name=value` a line, names as flags without dashes, `#` starts a comment line.
+/// Fails with `missing_setting` or `invalid_setting`.
+result<std::map<std::string, std::string>> read_settings_file(const std::string& path);
+
+/// Path of the settings file from `PERIDOTCLEAT_SETTINGS`, or null.
+const char* settings_file_path() noexcept;
+
 /// Values of a program's flags after docopt has parsed them and environment variables have filled gaps.
 ///
 /// A flag `--data-folder` that the command line leaves out is taken from `PERIDOTCLEAT_DATA_FOLDER`, then
-/// from the default. Readers collect all errors, so that a program reports them at once.
+/// from the settings file, whose names other programs may use too, then from the default. Readers collect all
+/// errors, so that a program reports them at once.
 class settings {
 public:
     /// Parses `arguments` against the docopt text `usage`. Prints help or version and exits as docopt does.
--- a/src/include/peridotcleat/table_state.h
+++ b/src/include/peridotcleat/table_state.h
@@ -48,7 +48,7 @@
 namespace pvt {
 
 /// Kinds of objects in the table, with their numbers in messages.
-enum class object_kind : std::int8_t { service = 1, target = 2, node = 3 };
+enum class object_kind : std::int8_t { service = 1, target = 2, node = 3, route = 4 };
 
 /// Position of an object or tombstone in the order of modification.
 struct object_key {
@@ -63,9 +63,35 @@
 std::uint64_t digest_of(const wire::service_entry& value) noexcept;
 std::uint64_t digest_of(const wire::target& value) noexcept;
 std::uint64_t digest_of(const wire::node& value) noexcept;
+std::uint64_t digest_of(const wire::route_entry& value) noexcept;
 
 }  // namespace pvt
 
+/// Number of a route's address in messages and tables.
+constexpr std::int64_t route_number(const endpoint& address) noexcept
+{
+    return (std::int64_t{address.address} << 16U) | std::int64_t{address.port};
+}
+
+/// The address that `number` stands for.
+constexpr endpoint route_address(std::int64_t number) noexcept
+{
+    return {static_cast<std::uint32_t>(number >> 16U), static_cast<std::uint16_t>(number & 0xffff)};
+}
+
+/// A description that was replaced as a whole: its version and the compressed document its author sent.
+struct stored_document {
+    std::int64_t version = 0;
+    std::string bytes;
+};
+
+/// Permitted weight of a service at an address; 0 sends it no new flows.
+inline constexpr std::int32_t max_route_weight = 1'000'000;
+
+/// Checks a description that replaces the present one, apart from its document. Fails with
+/// `description_invalid_value`, `service_unknown`, `service_exists`, `address_overlap` or `table_full`.
+[[nodiscard]] std::optional<error> check_replacement(const wire::replacement& wanted);
+
 /// What applying one change did.
 struct apply_outcome {
     /// Set for patches.
@@ -90,12 +116,17 @@
     static constexpr std::size_t max_patch_records = 8192;
     /// How long an address stays reserved for its former service.
     static constexpr std::chrono::seconds quarantine_time{60};
+    /// How long a service that an address no longer sends new flows to is searched for open ones; callers
+    /// discard flows after a minute.
+    static constexpr std::chrono::seconds former_time{120};
     /// Most services, targets and nodes at a time; more are refused with `table_full`.
     static constexpr std::size_t max_services = 4096;
     static constexpr std::size_t max_targets = 20'000;
     static constexpr std::size_t max_nodes = 2000;
     /// Size of a page that fits a pull_reply of `max_control_body`, its header included.
     static constexpr std::size_t max_page = max_control_body - 40;
+    /// Most routes of a replaced description; more are refused with `table_full`.
+    static constexpr std::size_t max_routes = 8192;
     /// Most operations of a patch; more are refused with `patch_too_large`.
     static constexpr std::size_t max_operations = 256;
 
@@ -130,6 +161,11 @@
     {
         return patches_;
     }
+    /// Routes of the description in force, by number.
+    [[nodiscard]] const std::map<std::int64_t, wire::route_entry>& routes() const noexcept { return routes_; }
+    /// The description that was last replaced as a whole; version 0 if there is none. A node's copy holds the
+    /// version only.
+    [[nodiscard]] const stored_document& document() const noexcept { return document_; }
     /// Returns the service of `name`, if any.
     [[nodiscard]] std::optional<service_id> find_service(std::string_view name) const;
     /// Returns the targets of `service` in order of incarnation, draining ones included.
@@ -158,15 +194,17 @@
     void put(const wire::service_entry& value);
     void put(const wire::target& value);
     void put(const wire::node& value);
+    void put(const wire::route_entry& value);
     void remove(const wire::tombstone& value);
     /// Sets revision and version after pages were applied.
-    void finish_pages(revision at, config_version version);
+    void finish_pages(revision at, config_version version, std::int64_t document_version);
 
     /// Returns the digest that the table would have after these changes, without making them. Later ones win.
     struct object_changes {
         std::map<service_id, wire::service_entry> services;
         std::map<incarnation, wire::target> targets;
         std::map<incarnation, wire::node> nodes;
+        std::map<std::int64_t, wire::route_entry> routes;
         /// Removed objects by kind and id.
         std::map<std::pair<pvt::object_kind, std::int64_t>, wire::tombstone> removed;
     };
@@ -186,6 +224,9 @@
     void drain_target(revision at, incarnation id, apply_outcome& out);
     void leave_target(revision at, incarnation id, apply_outcome& out);
     void leave_node(revision at, incarnation id, apply_outcome& out);
+    void replace(revision at, const wire::replacement& wanted, wall_time now, apply_outcome& out);
+    void replace_services(revision at, const wire::replacement& wanted, wall_time now, apply_outcome& out);
+    void replace_routes(revision at, const wire::replacement& wanted, wall_time now);
 
     void remove_service(revision at, service_id id, wall_time now);
     void quarantine_address(const endpoint& address, service_id former, wall_time now);
@@ -195,6 +236,7 @@
     void erase_live(const wire::service_entry& value);
     void erase_live(const wire::target& value);
     void erase_live(const wire::node& value);
+    void erase_live(const wire::route_entry& value);
     void drop_old_tombstones();
     [[nodiscard]] bool needs_full(const wire::cursor& position) const noexcept;
     [[nodiscard]] std::optional<error> load(const wire::table_snapshot& snapshot);
@@ -209,6 +251,8 @@
     std::map<service_id, wire::service_entry> services_;
     std::map<incarnation, wire::target> targets_;
     std::map<incarnation, wire::node> nodes_;
+    std::map<std::int64_t, wire::route_entry> routes_;
+    stored_document document_;
     std::map<config_version, wire::patch_record> patches_;
     std::map<endpoint, wire::quarantine> quarantined_;
     // Indexes, all derived from the maps above.
--- /dev/null
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -0,0 +1,404 @@
+#include "peridotcleat/segment_agent.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "peridotcleat/log.h"
+#include "peridotcleat/table_state.h"
+
+namespace peridotcleat {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds load_interval{200};
+constexpr milliseconds clean_interval{1000};
+// Balancers that were silent for longer get no load reports.
+constexpr milliseconds balancer_memory{5000};
+// A flow that both ends have closed, and one that its caller never accepted.
+constexpr milliseconds closing_time{3000};
+constexpr milliseconds half_open_time{5000};
+// Added to the greatest age of a flow, for packets on their way.
+constexpr milliseconds age_margin{5000};
+// The target runs on the same machine and answers an opening packet in about a millisecond.
+constexpr milliseconds target_timeout{300};
+// How often a target that does not answer is tried with a new flow.
+constexpr milliseconds target_retry{500};
+// Weight of the newest sample of the busy flows; with `load_interval` an average over about a second.
+constexpr double busy_weight = 0.2;
+// Share of young flows that counts as young at the next report; they fade within about two seconds.
+constexpr double young_decay = 0.85;
+// Load of an open flow whose use is not known yet, in thousandths of a slot.
+constexpr double young_permille = 100;
+constexpr double open_permille = 30;
+// A target is that much slower while it is cold, in thousandths of a slot for each slot.
+constexpr double cold_permille = 300;
+
+}  // namespace
+
+segment_agent::segment_agent(segment_agent_settings settings, time_point now, counters& counted)
+    : settings_(std::move(settings)), counted_(&counted), service_key_(service_key(settings_.service)),
+      started_(now)
+{
+}
+
+bool segment_agent::on_announcement(time_point now, const target_announcement& a, outbox& out)
+{
+    if (a.service != settings_.service || a.started_ms < last_started_ms_) {
+        counted_->refuse(a.service != settings_.service ? error_code::wrong_service
+                                                        : error_code::wrong_incarnation);
+        return false;
+    }
+    const bool same = target_ && target_->started_ms == a.started_ms;
+    if (same && a.sequence < target_->sequence) {
+        counted_->refuse(error_code::wrong_incarnation);
+        return false;
+    }
+    if (a.started_ms > last_started_ms_ && last_started_ms_ != 0) {
+        // A new start of the target holds none of the flows of the former one.
+        log_event(log_level::info, "target_restarted",
+                  {{"id", a.id},
+                   {"started_ms", a.started_ms},
+                   {"flows", static_cast<std::int64_t>(flows_.size())}});
+        flows_.clear();
+        busy_ = 0;
+        started_ = now - settings_.max_flow_age - age_margin;
+    }
+    const bool changed = !target_ || target_->draining != a.draining;
+    last_started_ms_ = a.started_ms;
+    target_ = a;
+    announced_ = now;
+    warm_at_ = now + a.warmup;
+    if (changed) {
+        log_event(log_level::info, "target_announced",
+                  {{"id", a.id},
+                   {"draining", a.draining ? "true" : "false"},
+                   {"sequence", a.sequence},
+                   {"flows", static_cast<std::int64_t>(flows_.size())}});
+        send_load(now, out);
+    }
+    return true;
+}
+
+void segment_agent::on_target_left(time_point now, outbox& out)
+{
+    log_event(log_level::info, "target_left", {{"flows", static_cast<std::int64_t>(flows_.size())}});
+    target_.reset();
+    flows_.clear();
+    busy_ = 0;
+    started_ = now - settings_.max_flow_age - age_margin;
+    send_load(now, out);
+}
+
+void segment_agent::begin_stop(time_point now, outbox& out)
+{
+    stopping_ = true;
+    send_load(now, out);
+}
+
+std::optional<error_code> segment_agent::refusal(time_point now) const
+{
+    if (stopping_) {
+        return error_code::stopped;
+    }
+    if (!target_ || now - announced_ > settings_.announcement_timeout) {
+        return error_code::upstream_unreachable;
+    }
+    if (target_->draining) {
+        return error_code::draining;
+    }
+    const bool silent = unanswered_since_ && now - *unanswered_since_ > target_timeout;
+    if (silent && now - last_probe_ < target_retry) {
+        return error_code::upstream_unreachable;
+    }
+    return std::nullopt;
+}
+
+bool segment_agent::knows_all_flows(time_point now) const
+{
+    return now - started_ >= settings_.max_flow_age + age_margin;
+}
+
+void segment_agent::on_message(time_point now, const endpoint& from, const message& m, outbox& out)
+{
+    if (const auto* forwarded = std::get_if<wire::segment_forward>(&m)) {
+        on_forward(now, from, *forwarded, out);
+    }
+}
+
+void segment_agent::on_forward(time_point now, const endpoint& from, const wire::segment_forward& m,
+                               outbox& out)
+{
+    balancers_[route_number(from)] = now;
+    const auto s = settings_.format.decode(m.packet);
+    if (!s || s->returned) {
+        counted_->refuse(error_code::message_malformed);
+        return;
+    }
+    const auto purpose = static_cast<segment_purpose>(m.purpose);
+    if (m.service_key != service_key_) {
+        // The machine has changed hands, and the balancer has not heard of it.
+        counted_->refuse(error_code::wrong_service);
+        const bool placed = purpose == segment_purpose::place;
+        auto report = report_of(s->key, placed ? segment_outcome::declined : segment_outcome::absent);
+        if (placed) {
+            report.__set_reason(static_cast<std::int16_t>(error_code::wrong_service));
+        }
+        if (purpose != segment_purpose::search) {
+            report.__set_packet(m.packet);
+        }
+        out.send(from, std::move(report));
+        return;
+    }
+    if (purpose == segment_purpose::place && s->opens) {
+        on_placement(now, from, *s, m, out);
+    } else if (!s->opens) {
+        on_later(now, from, *s, m, out);
+    } else {
+        counted_->refuse(error_code::message_malformed);
+    }
+}
+
+void segment_agent::on_placement(time_point now, const endpoint& from, const segment& s,
+                                 const wire::segment_forward& m, outbox& out)
+{
+    const auto known = flows_.find(s.key);
+    if (known == flows_.end()) {
+        if (const auto reason = refusal(now)) {
+            counted_->refuse(*reason);
+            log_event(log_level::info, "flow_refused",
+                      {{"flow", to_string(s.key)},
+                       {"reason", to_string(*reason)},
+                       {"announced_ms", std::chrono::duration_cast<milliseconds>(now - announced_).count()}});
+            auto report = report_of(s.key, segment_outcome::declined);
+            report.__set_reason(static_cast<std::int16_t>(*reason));
+            report.__set_packet(m.packet);
+            out.send(from, std::move(report));
+            return;
+        }
+        last_probe_ = now;
+        ++opened_since_tick_;
+    }
+    flow& f = flows_[s.key];
+    f.balancer = from;
+    f.used = now;
+    if (known == flows_.end()) {
+        f.opened_at = now;
+    }
+    if (!unanswered_since_) {
+        unanswered_since_ = now;
+    }
+    counted_->add(event::flows_offered);
+    deliver(m.packet, out);
+}
+
+void segment_agent::on_later(time_point now, const endpoint& from, const segment& s,
+                             const wire::segment_forward& m, outbox& out)
+{
+    const bool searched = static_cast<segment_purpose>(m.purpose) == segment_purpose::search;
+    auto it = flows_.find(s.key);
+    const bool foreign = it != flows_.end() && it->second.offered && !it->second.opened &&
+                         !acknowledges_flow(s.acknowledged, it->second.target_sequence);
+    if (foreign || (it == flows_.end() && (!target_ || knows_all_flows(now)))) {
+        counted_->refuse(error_code::flow_unknown);
+        auto report = report_of(s.key, segment_outcome::absent);
+        if (!searched) {
+            report.__set_packet(m.packet);
+        }
+        out.send(from, std::move(report));
+        return;
+    }
+    if (it == flows_.end()) {
+        it = flows_.try_emplace(s.key).first;
+        it->second.probing = true;
+        it->second.opened_at = now;
+    }
+    flow& f = it->second;
+    f.balancer = from;
+    f.used = now;
+    if (f.probing) {
+        f.searched = searched;
+        deliver(m.packet, out);
+        return;
+    }
+    if (f.offered && !f.opened) {
+        f.opened = true;
+        counted_->add(event::flows_opened);
+        log_event(log_level::debug, "flow_opened", {{"flow", to_string(s.key)}});
+    }
+    if (s.length > 0) {
+        set_busy(f, true);
+    }
+    f.closing = f.closing || s.resets;
+    deliver(m.packet, out);
+    if (searched) {
+        out.send(from, report_of(s.key, segment_outcome::held));
+    }
+}
+
+void segment_agent::deliver(std::string_view packet, outbox& out)
+{
+    out.packets.push_back({settings_.target, std::string(packet)});
+}
+
+void segment_agent::set_busy(flow& f, bool busy)
+{
+    if (f.busy != busy) {
+        f.busy = busy;
+        busy_ += busy ? 1 : -1;
+    }
+}
+
+void segment_agent::erase(flow_map::iterator it)
+{
+    set_busy(it->second, false);
+    flows_.erase(it);
+    counted_->add(event::flows_closed);
+}
+
+void segment_agent::on_target_packet(time_point now, std::string_view packet, outbox& out)
+{
+    const auto s = settings_.format.decode(packet);
+    if (!s) {
+        counted_->refuse(error_code::message_malformed);
+        return;
+    }
+    unanswered_since_.reset();
+    if (s->returned) {
+        on_returned(now, *s, packet, out);
+        return;
+    }
+    const flow_key key = reversed(s->key);
+    const auto [it, added] = flows_.try_emplace(key);
+    flow& f = it->second;
+    f.used = now;
+    if (added) {
+        // A flow from before the agent's start.
+        f.opened_at = now;
+        f.opened = !s->opens;
+    }
+    if (s->opens) {
+        f.offered = true;
+        f.target_sequence = s->sequence;
+        if (f.balancer.valid()) {
+            auto report = report_of(key, segment_outcome::offered);
+            report.__set_sequence(static_cast<std::int32_t>(s->sequence));
+            out.send(f.balancer, std::move(report));
+        }
+    } else {
+        note_data(f, *s);
+        if (f.probing) {
+            f.probing = false;
+            f.opened = true;
+            out.send(f.balancer, report_of(key, segment_outcome::held));
+        }
+    }
+    out.packets.push_back({{key.source.address, settings_.caller_port}, std::string(packet)});
+}
+
+void segment_agent::note_data(flow& f, const segment& s)
+{
+    if (s.length > 0) {
+        f.opened = true;
+        set_busy(f, false);
+    }
+    if (s.finishes || s.resets) {
+        f.closing = true;
+        set_busy(f, false);
+    }
+}
+
+// The target does not hold the flow of the packet, or cannot accept it.
+void segment_agent::on_returned(time_point /*now*/, const segment& s, std::string_view packet, outbox& out)
+{
+    const auto it = flows_.find(s.key);
+    if (it == flows_.end()) {
+        return;
+    }
+    std::string original(packet);
+    settings_.format.restore(original);
+    flow& f = it->second;
+    if (s.opens) {
+        counted_->refuse(error_code::shed_by_upstream);
+        auto report = report_of(s.key, segment_outcome::declined);
+        report.__set_reason(static_cast<std::int16_t>(error_code::shed_by_upstream));
+        report.__set_packet(original);
+        if (f.balancer.valid()) {
+            out.send(f.balancer, std::move(report));
+        }
+    } else if (f.opened && !f.closing) {
+        // The target held the flow before and does not any more, so nobody does.
+        counted_->add(event::flows_reset);
+        log_event(log_level::info, "flow_reset", {{"flow", to_string(s.key)}, {"reason", "flow_unknown"}});
+        out.packets.push_back({{s.key.source.address, settings_.caller_port},
+                               settings_.format.make_reset(s.key, s.acknowledged)});
+    } else if (f.balancer.valid() && !f.closing) {
+        auto report = report_of(s.key, segment_outcome::absent);
+        if (!f.searched) {
+            report.__set_packet(original);
+        }
+        out.send(f.balancer, std::move(report));
+    }
+    erase(it);
+}
+
+wire::segment_report segment_agent::report_of(const flow_key& key, segment_outcome outcome) const
+{
+    wire::segment_report r;
+    r.key = to_wire(key);
+    r.service_key = service_key_;
+    r.outcome = static_cast<std::int8_t>(outcome);
+    r.load_permille = load_permille();
+    return r;
+}
+
+std::int32_t segment_agent::load_permille() const
+{
+    double load = (busy_average_ * 1000) + (static_cast<double>(flows_.size()) * open_permille) +
+                  ((young_ + static_cast<double>(opened_since_tick_)) * young_permille);
+    if (target_ && announced_ < warm_at_) {
+        load += cold_permille * target_->slots;
+    }
+    return static_cast<std::int32_t>(std::min(load, 1e9));
+}
+
+void segment_agent::send_load(time_point now, outbox& out)
+{
+    wire::segment_load m;
+    m.service_key = service_key_;
+    m.load_permille = load_permille();
+    m.accepting = !refusal(now).has_value();
+    for (const auto& [number, heard] : balancers_) {
+        out.send(route_address(number), m);
+    }
+}
+
+void segment_agent::on_tick(time_point now, outbox& out)
+{
+    if (now - last_load_ >= load_interval) {
+        last_load_ = now;
+        busy_average_ += busy_weight * (static_cast<double>(busy_) - busy_average_);
+        young_ = (young_ * young_decay) + static_cast<double>(opened_since_tick_);
+        opened_since_tick_ = 0;
+        std::erase_if(balancers_, [now](const auto& b) { return now - b.second > balancer_memory; });
+        send_load(now, out);
+    }
+    if (now - last_cleaned_ < clean_interval) {
+        return;
+    }
+    last_cleaned_ = now;
+    for (auto it = flows_.begin(); it != flows_.end();) {
+        const flow& f = it->second;
+        const auto silent = now - f.used;
+        const bool over = silent > settings_.max_flow_age + age_margin ||
+                          (f.closing && silent > closing_time) || (!f.opened && silent > half_open_time);
+        const auto next = std::next(it);
+        if (over) {
+            erase(it);
+        }
+        it = next;
+    }
+}
+
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -0,0 +1,441 @@
+#include "peridotcleat/segment_balancer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "peridotcleat/log.h"
+
+namespace peridotcleat {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A flow that is silent for longer is searched for when it speaks again; callers keep flows for 60 s.
+constexpr milliseconds cache_time{65000};
+constexpr milliseconds clean_interval{1000};
+// A quarter of a million flows are 60 MB; beyond that the oldest knowledge is searched for again.
+constexpr std::size_t max_flows = 250'000;
+// An agent answers a placement within two crossings between zones; after this time it counts as lost until it
+// is heard again, and callers have not yet repeated their opening packet.
+constexpr milliseconds answer_timeout{120};
+// A lost agent is tried again after this time, because it may have had nothing to say.
+constexpr milliseconds retry_lost{2000};
+// A search without an answer is repeated with the caller's next packet.
+constexpr milliseconds search_timeout{150};
+// The most packets a sender has in flight.
+constexpr std::size_t max_waiting = 16;
+// Below this age a table is as good as control's own, and what it does not hold does not exist.
+constexpr milliseconds fresh_table{1500};
+// Load of a flow that was placed and is not in the target's report yet, in thousandths of a slot.
+constexpr std::int32_t placed_permille = 150;
+// A target that refuses flows is asked again after this time, if it has not reported until then.
+constexpr milliseconds refusal_time{1000};
+constexpr std::int64_t out_of_service = 1'000'000;
+
+std::int64_t number(const endpoint& e) { return route_number(e); }
+
+bool contains(const std::vector<endpoint>& list, const endpoint& e)
+{
+    return std::ranges::find(list, e) != list.end();
+}
+
+}  // namespace
+
+segment_balancer::segment_balancer(segment_balancer_settings settings, counters& counted)
+    : settings_(std::move(settings)), counted_(&counted), routes_(std::make_shared<flow_routes>())
+{
+}
+
+void segment_balancer::set_routes(std::shared_ptr<const flow_routes> routes) { routes_ = std::move(routes); }
+
+void segment_balancer::on_packet(time_point now, std::string_view packet, milliseconds table_age, outbox& out)
+{
+    const auto s = settings_.format.decode(packet);
+    if (!s || s->returned) {
+        counted_->refuse(error_code::message_malformed);
+        return;
+    }
+    table_age_ = table_age;
+    if (s->opens) {
+        on_opening(now, *s, packet, out);
+    } else {
+        on_later(now, *s, packet, out);
+    }
+}
+
+segment_balancer::flow& segment_balancer::remember(time_point now, const flow_key& key)
+{
+    flow& f = flows_[key];
+    f.used = now;
+    return f;
+}
+
+void segment_balancer::on_opening(time_point now, const segment& s, std::string_view packet, outbox& out)
+{
+    const flow_route* route = routes_->find(s.key.destination);
+    if (route == nullptr) {
+        counted_->refuse(error_code::wrong_service);
+        // An older table may lack a route that is in force already.
+        if (table_age_ < fresh_table) {
+            reset(s.key, s.sequence, error_code::wrong_service, out);
+        }
+        return;
+    }
+    if (flows_.size() >= max_flows && !flows_.contains(s.key)) {
+        counted_->refuse(error_code::flow_limit);
+        reset(s.key, s.sequence, error_code::flow_limit, out);
+        return;
+    }
+    const flow_service& service = route->choose(s.key);
+    flow& f = remember(now, s.key);
+    if (f.service != service.key) {
+        f = {};
+        f.service = service.key;
+        f.used = now;
+    }
+    const auto offered = std::ranges::find_if(f.placements, &placement::offered);
+    if (offered != f.placements.end()) {
+        // The offer was lost on its way to the caller, or the caller repeats itself.
+        forward(offered->agent, f.service, segment_purpose::place, packet, out);
+        return;
+    }
+    place(now, s.key, f, packet, out);
+}
+
+const flow_service* segment_balancer::service_of(const flow_key& key, std::int64_t service) const
+{
+    const flow_route* route = routes_->find(key.destination);
+    if (route == nullptr) {
+        return nullptr;
+    }
+    const auto it = std::ranges::find_if(
+        route->backends, [service](const flow_route::backend& b) { return b.service->key == service; });
+    return it == route->backends.end() ? nullptr : it->service.get();
+}
+
+std::int64_t segment_balancer::cost_of(time_point now, const flow_target& target) const
+{
+    const std::int64_t distance = target.zone == settings_.zone ? 0 : settings_.zone_penalty_permille;
+    const auto it = loads_.find(number(target.agent));
+    if (it == loads_.end()) {
+        return distance;
+    }
+    const target_load& l = it->second;
+    const bool lost = l.unanswered_since && now - *l.unanswered_since > answer_timeout &&
+                      now - *l.unanswered_since < retry_lost;
+    const bool refusing = !l.accepting && now - l.reported < refusal_time;
+    const std::int64_t load =
+        (l.reported_permille + (l.placed_since * placed_permille)) / std::max<std::int64_t>(target.slots, 1);
+    return load + distance + (lost || refusing ? out_of_service : 0);
+}
+
+const flow_target* segment_balancer::best_candidate(time_point now, const flow_service& service,
+                                                    const flow& f) const
+{
+    const flow_target* best = nullptr;
+    std::int64_t best_cost = 0;
+    for (const flow_target& t : service.targets) {
+        const bool asked = std::ranges::find(f.placements, t.agent, &placement::agent) != f.placements.end();
+        if (t.draining || asked) {
+            continue;
+        }
+        const std::int64_t cost = cost_of(now, t);
+        if (best == nullptr || cost < best_cost) {
+            best = &t;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+// Asks the next candidate. Targets that were asked before may still offer: the caller takes the first offer
+// only.
+void segment_balancer::place(time_point now, const flow_key& key, flow& f, std::string_view packet,
+                             outbox& out)
+{
+    const flow_service* service = service_of(key, f.service);
+    const flow_target* target = service == nullptr ? nullptr : best_candidate(now, *service, f);
+    if (target == nullptr) {
+        const auto open = std::ranges::find_if(f.placements, [](const placement& p) { return !p.declined; });
+        if (open != f.placements.end()) {
+            forward(open->agent, f.service, segment_purpose::place, packet, out);
+            return;
+        }
+        const auto s = settings_.format.decode(packet);
+        counted_->refuse(error_code::no_target);
+        reset(key, s ? s->sequence : 0, error_code::no_target, out);
+        flows_.erase(key);
+        return;
+    }
+    target_load& l = loads_[number(target->agent)];
+    ++l.placed_since;
+    if (!l.unanswered_since || now - *l.unanswered_since >= retry_lost) {
+        l.unanswered_since = now;
+    }
+    log_event(log_level::info, "flow_placed",
+              {{"flow", to_string(key)},
+               {"service", service->name},
+               {"agent", to_string(target->agent)},
+               {"attempt", static_cast<std::int64_t>(f.placements.size()) + 1},
+               {"load_permille", std::int64_t{l.reported_permille}},
+               {"load_age_ms", std::chrono::duration_cast<milliseconds>(now - l.reported).count()},
+               {"version", routes_->version()},
+               {"table_age_ms", table_age_.count()}});
+    f.placements.push_back({target->agent, now, false, false, 0});
+    counted_->add(event::flows_offered);
+    forward(target->agent, f.service, segment_purpose::place, packet, out);
+}
+
+std::optional<endpoint> segment_balancer::holder_by_sequence(const flow& f, std::uint32_t acknowledged)
+{
+    for (const placement& p : f.placements) {
+        if (p.offered && acknowledges_flow(acknowledged, p.sequence)) {
+            return p.agent;
+        }
+    }
+    return std::nullopt;
+}
+
+void segment_balancer::on_later(time_point now, const segment& s, std::string_view packet, outbox& out)
+{
+    const auto it = flows_.find(s.key);
+    if (it == flows_.end()) {
+        start_search(now, s.key, packet, {}, out);
+        return;
+    }
+    flow& f = it->second;
+    f.used = now;
+    f.acknowledged = s.acknowledged;
+    if (!f.holder) {
+        f.holder = holder_by_sequence(f, s.acknowledged);
+        if (f.holder) {
+            f.placements.clear();
+            counted_->add(event::flows_opened);
+        }
+    }
+    if (f.holder) {
+        forward(*f.holder, f.service, segment_purpose::held, packet, out);
+    } else if (!f.placements.empty()) {
+        // The report of the offer is late or lost; the agent knows whether the flow is its own.
+        forward(f.placements.back().agent, f.service, segment_purpose::held, packet, out);
+    } else if (f.searching && now - f.searching->started < search_timeout) {
+        if (f.searching->waiting.size() < max_waiting) {
+            f.searching->waiting.emplace_back(packet);
+        }
+    } else {
+        start_search(now, s.key, packet, {}, out);
+    }
+}
+
+void segment_balancer::start_search(time_point now, const flow_key& key, std::string_view packet,
+                                    std::vector<endpoint> absent, outbox& out)
+{
+    const flow_route* route = routes_->find(key.destination);
+    if (route == nullptr || (flows_.size() >= max_flows && !flows_.contains(key))) {
+        counted_->refuse(error_code::flow_unknown);
+        return;
+    }
+    flow& f = remember(now, key);
+    f.holder.reset();
+    f.placements.clear();
+    if (const auto s = settings_.format.decode(packet)) {
+        f.acknowledged = s->acknowledged;
+    }
+    f.searching = std::make_unique<search>();
+    f.searching->started = now;
+    f.searching->absent = std::move(absent);
+    for (const flow_service* service : route->holders()) {
+        for (const flow_target& t : service->targets) {
+            if (!contains(f.searching->asked, t.agent)) {
+                f.searching->asked.push_back(t.agent);
+                if (!contains(f.searching->absent, t.agent)) {
+                    forward(t.agent, service->key, segment_purpose::search, packet, out);
+                }
+            }
+        }
+    }
+    counted_->add(event::flows_redirected);
+    log_event(log_level::info, "flow_searched",
+              {{"flow", to_string(key)},
+               {"targets", static_cast<std::int64_t>(f.searching->asked.size())},
+               {"absent", static_cast<std::int64_t>(f.searching->absent.size())},
+               {"table_age_ms", table_age_.count()}});
+    finish_search(key, out);
+}
+
+// Ends a search in which every target of a fresh table has said that it does not hold the flow.
+void segment_balancer::finish_search(const flow_key& key, outbox& out)
+{
+    const auto it = flows_.find(key);
+    const flow& f = it->second;
+    const bool all_absent = std::ranges::all_of(
+        f.searching->asked, [&](const endpoint& e) { return contains(f.searching->absent, e); });
+    if (!all_absent || f.searching->asked.empty() || table_age_ >= fresh_table) {
+        return;
+    }
+    reset(key, f.acknowledged, error_code::flow_unknown, out);
+    flows_.erase(it);
+}
+
+void segment_balancer::on_message(time_point now, const endpoint& from, const message& m, outbox& out)
+{
+    if (const auto* report = std::get_if<wire::segment_report>(&m)) {
+        target_load& l = loads_[number(from)];
+        l.unanswered_since.reset();
+        l.reported_permille = report->load_permille;
+        l.reported = now;
+        l.placed_since = 0;
+        on_report(now, from, *report, out);
+    } else if (const auto* load = std::get_if<wire::segment_load>(&m)) {
+        loads_[number(from)] = {load->load_permille, 0, now, load->accepting, std::nullopt};
+    }
+}
+
+void segment_balancer::on_report(time_point now, const endpoint& from, const wire::segment_report& report,
+                                 outbox& out)
+{
+    switch (static_cast<segment_outcome>(report.outcome)) {
+    case segment_outcome::offered:
+        loads_[number(from)].accepting = true;
+        on_offered(from_wire(report.key), from, static_cast<std::uint32_t>(report.sequence));
+        break;
+    case segment_outcome::held: on_held(now, from_wire(report.key), from, out); break;
+    case segment_outcome::declined: on_declined(now, from, report, out); break;
+    case segment_outcome::absent: on_absent(now, from, report, out); break;
+    default: counted_->refuse(error_code::message_malformed);
+    }
+}
+
+void segment_balancer::on_offered(const flow_key& key, const endpoint& from, std::uint32_t sequence)
+{
+    const auto it = flows_.find(key);
+    if (it == flows_.end()) {
+        return;
+    }
+    const auto p = std::ranges::find(it->second.placements, from, &placement::agent);
+    if (p != it->second.placements.end()) {
+        p->offered = true;
+        p->sequence = sequence;
+    }
+}
+
+void segment_balancer::on_held(time_point now, const flow_key& key, const endpoint& from, outbox& out)
+{
+    flow& f = remember(now, key);
+    f.holder = from;
+    if (const flow_route* route = routes_->find(key.destination)) {
+        for (const flow_service* service : route->holders()) {
+            if (std::ranges::find(service->targets, from, &flow_target::agent) != service->targets.end()) {
+                f.service = service->key;
+            }
+        }
+    }
+    f.placements.clear();
+    const auto searched = std::move(f.searching);
+    if (searched) {
+        for (const std::string& packet : searched->waiting) {
+            forward(from, f.service, segment_purpose::held, packet, out);
+        }
+    }
+}
+
+void segment_balancer::on_declined(time_point now, const endpoint& from, const wire::segment_report& report,
+                                   outbox& out)
+{
+    const auto reason = static_cast<error_code>(report.reason);
+    counted_->add(event::flows_offer_declined);
+    counted_->retry(reason);
+    const flow_key key = from_wire(report.key);
+    loads_[number(from)].accepting = false;
+    log_event(log_level::info, "flow_declined",
+              {{"flow", to_string(key)}, {"agent", to_string(from)}, {"reason", to_string(reason)}});
+    const auto it = flows_.find(key);
+    if (it == flows_.end() || it->second.holder) {
+        return;
+    }
+    flow& f = it->second;
+    const auto p = std::ranges::find(f.placements, from, &placement::agent);
+    if (p == f.placements.end() || p->declined) {
+        return;
+    }
+    p->declined = true;
+    const bool offered = std::ranges::any_of(f.placements, &placement::offered);
+    if (!offered && report.__isset.packet) {
+        place(now, key, f, report.packet, out);
+    }
+}
+
+void segment_balancer::on_absent(time_point now, const endpoint& from, const wire::segment_report& report,
+                                 outbox& out)
+{
+    const flow_key key = from_wire(report.key);
+    const auto it = flows_.find(key);
+    if (it == flows_.end()) {
+        return;
+    }
+    flow& f = it->second;
+    if (f.searching) {
+        if (!contains(f.searching->absent, from)) {
+            f.searching->absent.push_back(from);
+        }
+        finish_search(key, out);
+        return;
+    }
+    const bool meanwhile_found = f.holder && *f.holder != from;
+    if (!report.__isset.packet) {
+        return;
+    }
+    if (meanwhile_found) {
+        forward(*f.holder, f.service, segment_purpose::held, report.packet, out);
+        return;
+    }
+    if (const auto s = settings_.format.decode(report.packet)) {
+        // Another target's offer may have been reported meanwhile.
+        std::erase_if(f.placements, [&](const placement& p) { return p.agent == from; });
+        if (const auto holder = holder_by_sequence(f, s->acknowledged)) {
+            f.holder = holder;
+            forward(*holder, f.service, segment_purpose::held, report.packet, out);
+            return;
+        }
+    }
+    const std::string packet = report.packet;
+    start_search(now, key, packet, {from}, out);
+}
+
+void segment_balancer::forward(const endpoint& agent, std::int64_t service, segment_purpose purpose,
+                               std::string_view packet, outbox& out)
+{
+    wire::segment_forward m;
+    m.packet = std::string(packet);
+    m.service_key = service;
+    m.purpose = static_cast<std::int8_t>(purpose);
+    counted_->add(event::packets_forwarded);
+    out.send(agent, std::move(m));
+}
+
+void segment_balancer::reset(const flow_key& key, std::uint32_t sequence, error_code reason, outbox& out)
+{
+    counted_->add(event::flows_reset);
+    log_event(log_level::info, "flow_reset",
+              {{"flow", to_string(key)},
+               {"reason", to_string(reason)},
+               {"version", routes_->version()},
+               {"table_age_ms", table_age_.count()}});
+    out.packets.push_back(
+        {{key.source.address, settings_.caller_port}, settings_.format.make_reset(key, sequence)});
+}
+
+void segment_balancer::on_tick(time_point now)
+{
+    if (now - last_cleaned_ < clean_interval) {
+        return;
+    }
+    last_cleaned_ = now;
+    std::erase_if(flows_, [now](const auto& item) { return now - item.second.used > cache_time; });
+    std::erase_if(loads_, [now](const auto& item) {
+        return now - item.second.reported > cache_time && !item.second.unanswered_since;
+    });
+}
+
+}  // namespace peridotcleat
--- a/src/control/operator_api.cpp
+++ b/src/libperidotcleat/process/operator_api.cpp
@@ -1,4 +1,4 @@
-#include "operator_api.h"
+#include "peridotcleat/operator_api.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
--- a/src/libperidotcleat/process/settings.cpp
+++ b/src/libperidotcleat/process/settings.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <optional>
 
@@ -58,8 +59,43 @@
     return defaults;
 }
 
+std::string trimmed(const std::string& text)
+{
+    const auto begin = text.find_first_not_of(" \t\r");
+    return begin == std::string::npos ? "" : text.substr(begin, text.find_last_not_of(" \t\r") - begin + 1);
+}
+
 }  // namespace
 
+result<std::map<std::string, std::string>> read_settings_file(const std::string& path)
+{
+    std::ifstream in(path);
+    if (!in) {
+        return error{error_code::missing_setting, "cannot read the settings file " + path};
+    }
+    std::map<std::string, std::string> values;
+    std::string line;
+    for (int number = 1; std::getline(in, line); ++number) {
+        line = trimmed(line);
+        const std::size_t equals = line.find('=');
+        if (line.empty() || line.front() == '#') {
+            continue;
+        }
+        if (equals == std::string::npos || equals == 0) {
+            return error{error_code::invalid_setting,
+                         path + " line " + std::to_string(number) + ": not name=value"};
+        }
+        values["--" + trimmed(line.substr(0, equals))] = trimmed(line.substr(equals + 1));
+    }
+    return values;
+}
+
+const char* settings_file_path() noexcept
+{
+    return std::getenv(
+        "PERIDOTCLEAT_SETTINGS");  // NOLINT(concurrency-mt-unsafe): the environment never changes
+}
+
 result<settings> settings::parse(const std::string& usage, const std::vector<std::string>& arguments,
                                  const std::string& version)
 {
@@ -78,6 +114,14 @@
         return error{error_code::unknown_setting,
                      std::string("arguments do not match the usage: ") + e.what()};
     }
+    std::map<std::string, std::string> in_file;
+    if (const char* path = settings_file_path()) {
+        auto read = read_settings_file(path);
+        if (!has_value(read)) {
+            return failure(read);
+        }
+        in_file = value(std::move(read));
+    }
     settings out;
     for (const auto& [name, parsed_value] : parsed) {
         if (const auto given = text_of(parsed_value)) {
@@ -90,6 +134,8 @@
         // NOLINTNEXTLINE(concurrency-mt-unsafe): no other thread runs yet
         if (const char* variable = std::getenv(variable_of(name).c_str())) {
             out.values_[name] = variable;
+        } else if (const auto line = in_file.find(name); line != in_file.end() && !line->second.empty()) {
+            out.values_[name] = line->second;
         } else if (const auto it = defaults.find(name); it != defaults.end()) {
             out.values_[name] = it->second;
         }
--- a/src/libperidotcleat/version/node_link.cpp
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -1,9 +1,11 @@
 #include "peridotcleat/node_link.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "peridotcleat/hash.h"
+#include "peridotcleat/relay.h"
 
 namespace peridotcleat {
 
@@ -24,6 +26,8 @@
 constexpr milliseconds reply_timeout{200};
 constexpr milliseconds announce_interval{1000};
 constexpr milliseconds unknown_age{3600000};
+// Several times the number of control processes.
+constexpr std::size_t max_parents = 32;
 // 40 bits take 6 bytes in each pull; a repeat within one name is as good as impossible.
 constexpr std::uint64_t nonce_mask = (std::uint64_t{1} << 40U) - 1;
 
@@ -54,13 +58,45 @@
     : settings_(std::move(settings)), counted_(&counted),
       random_(combine(settings_.seed, hash_bytes(settings_.name))), nonce_(draw_nonce(random_))
 {
-    for (const endpoint& address : settings_.parents) {
-        parents_.push_back({address, {}, {}, {}, false});
+    add_parents(settings_.parents);
+}
+
+void node_link::add_parents(const std::vector<endpoint>& addresses)
+{
+    const endpoint current = parents_.empty() ? endpoint{} : parents_[current_].address;
+    for (const endpoint& address : addresses) {
+        if (std::ranges::find(parents_, address, &parent_state::address) == parents_.end()) {
+            parents_.push_back({address, {}, {}, {}, false});
+        }
     }
     std::ranges::sort(parents_, [this](const parent_state& a, const parent_state& b) {
         return std::pair(preference(settings_.name, a.address), a.address) >
                std::pair(preference(settings_.name, b.address), b.address);
     });
+    if (const auto it = std::ranges::find(parents_, current, &parent_state::address); it != parents_.end()) {
+        current_ = static_cast<std::size_t>(it - parents_.begin());
+    }
+    if (parents_.size() > max_parents) {
+        // The settings and what was named last outlive older names; those that never answered go first.
+        const endpoint kept = parents_[current_].address;
+        std::erase_if(parents_, [&](const parent_state& p) {
+            return p.address != kept && !std::ranges::binary_search(named_, p.address) &&
+                   std::ranges::find(settings_.parents, p.address) == settings_.parents.end();
+        });
+        current_ = static_cast<std::size_t>(std::ranges::find(parents_, kept, &parent_state::address) -
+                                            parents_.begin());
+    }
+}
+
+// Control processes come and go; those that are named now are pulled from, and those of the settings stay as
+// a way back in.
+void node_link::take_parents(const std::vector<wire::endpoint>& named)
+{
+    named_.clear();
+    std::ranges::transform(named, std::back_inserter(named_),
+                           [](const wire::endpoint& e) { return from_wire(e); });
+    std::ranges::sort(named_);
+    add_parents(named_);
 }
 
 void node_link::offer(const target_offer& value) { offer_ = value; }
@@ -147,6 +183,9 @@
     wire::pull_request request;
     request.node = id_.value;
     request.nonce = nonce_;
+    if (settings_.discover_parents) {
+        request.__set_parents(parents_digest(named_));
+    }
     copy_.fill(request);
     parent_state& parent = parents_[index];
     if (!parent.unanswered) {
@@ -160,10 +199,17 @@
 
 void node_link::take_reply(time_point now, const endpoint& from, const wire::pull_reply& reply, outbox& out)
 {
-    const auto it = std::ranges::find(parents_, from, &parent_state::address);
+    auto it = std::ranges::find(parents_, from, &parent_state::address);
     if (it == parents_.end() || reply.nonce != nonce_ || !it->unanswered) {
         return;
     }
+    if (reply.__isset.parents && settings_.discover_parents) {
+        take_parents(reply.parents);
+        it = std::ranges::find(parents_, from, &parent_state::address);
+        if (it == parents_.end()) {
+            return;
+        }
+    }
     const std::size_t index = static_cast<std::size_t>(it - parents_.begin());
     // The reply may answer any pull that is open; the earliest one gives the highest age.
     const time_point as_of = *it->unanswered - milliseconds(reply.age_ms);
--- a/src/libperidotcleat/version/operator_desk.cpp
+++ b/src/libperidotcleat/version/operator_desk.cpp
@@ -24,6 +24,18 @@
     return a;
 }
 
+// The answer to a description that a version at least as high has made obsolete, if any has.
+std::optional<patch_answer> superseded(const wire::replacement& wanted, const table_state& table)
+{
+    if (wanted.version > table.document().version) {
+        return std::nullopt;
+    }
+    patch_answer a;
+    a.status = patch_status::already_accepted;
+    a.version = config_version{table.document().version};
+    return a;
+}
+
 }  // namespace
 
 std::int64_t latest_time(const wire::table_snapshot& snapshot)
@@ -59,6 +71,15 @@
 std::optional<wire::change> operator_desk::decide(waiting_request& w, const table_state& table, wall_time now)
 {
     w.decided = true;
+    if (w.request.replacement) {
+        if (auto a = superseded(*w.request.replacement, table)) {
+            answer(w.request, std::move(*a));
+            return std::nullopt;
+        }
+        wire::change change;
+        change.__set_replace(*w.request.replacement);
+        return change;
+    }
     if (!w.request.patch) {
         return decide_drain(w, table);
     }
@@ -153,7 +174,7 @@
     proposed_.erase(it);
     if (!same) {
         answer_skipped(request, table, now, true);
-    } else if (request.patch) {
+    } else if (request.patch || request.replacement) {
         answer(request, outcome.patch ? lasting(*outcome.patch)
                                       : unknown({error_code::outcome_unknown, "no outcome"}));
     } else {
@@ -171,6 +192,12 @@
 void operator_desk::answer_skipped(const operator_request& request, const table_state& table, wall_time now,
                                    bool certainly_dead)
 {
+    if (request.replacement) {
+        if (auto a = superseded(*request.replacement, table)) {
+            answer(request, std::move(*a));
+            return;
+        }
+    }
     if (request.patch) {
         patch_answer a = table.check(*request.patch, now);
         // The record of the patch, or of another one on the same base, decides for good.
--- a/src/libperidotcleat/version/relay.cpp
+++ b/src/libperidotcleat/version/relay.cpp
@@ -1,8 +1,11 @@
 #include "peridotcleat/relay.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "peridotcleat/hash.h"
+
 namespace peridotcleat {
 
 namespace {
@@ -41,11 +44,22 @@
 
 bool has_objects(const wire::table_page& page)
 {
-    return !page.services.empty() || !page.targets.empty() || !page.nodes.empty() || !page.tombstones.empty();
+    return !page.routes.empty() || !page.services.empty() || !page.targets.empty() || !page.nodes.empty() ||
+           !page.tombstones.empty();
 }
 
 }  // namespace
 
+std::int64_t parents_digest(const std::vector<endpoint>& parents)
+{
+    std::uint64_t digest = 1;
+    for (const endpoint& e : parents) {
+        digest = combine(digest, (std::uint64_t{e.address} << 16U) | e.port);
+    }
+    // 40 bits take 6 bytes in each pull.
+    return static_cast<std::int64_t>(digest >> 24U);
+}
+
 relay::relay(relay_limits limits, counters& counted) : counted_(&counted), limits_(limits) {}
 
 void relay::on_pull(time_point now, const endpoint& from, const wire::pull_request& request,
@@ -65,6 +79,12 @@
     reply.nonce = request.nonce;
     reply.age_ms = static_cast<std::int32_t>(std::clamp(age, milliseconds(0), max_age).count());
     reply.page = table.delta(position, full, max_control_body - page_overhead);
+    if (request.__isset.parents && !parents_.empty() && request.parents != parents_digest(parents_)) {
+        std::vector<wire::endpoint> parents;
+        std::ranges::transform(parents_, std::back_inserter(parents),
+                               [](const endpoint& e) { return to_wire(e); });
+        reply.__set_parents(parents);
+    }
     if (child != nullptr && crowded_for(now, *child)) {
         reply.__set_crowded(true);
     }
--- a/src/libperidotcleat/version/replica_members.cpp
+++ b/src/libperidotcleat/version/replica_members.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "peridotcleat/replica_core.h"
@@ -9,14 +10,16 @@
 namespace {
 
 constexpr std::chrono::milliseconds join_period{500};
-// A member that no leader serves for so long may have been replaced by another folder of its name.
-constexpr std::chrono::milliseconds silence_before_rejoin{10000};
 // A folder that is heard of is not replaced, whatever claims its name.
 constexpr std::chrono::milliseconds silence_before_replace{2000};
 constexpr std::chrono::milliseconds learner_heard_within{1000};
 // How far a learner may be behind when it is made a voter.
 constexpr std::int64_t learner_lag = 64;
 constexpr std::size_t max_joiners = 16;
+// A voter that is silent for so long gives its vote to a member that stands by: the time of a restart.
+constexpr std::chrono::milliseconds silence_before_succession{3000};
+// A member without a vote that is silent for so long is gone for good, or will ask again.
+constexpr std::chrono::milliseconds silence_before_removal{10000};
 
 const wire::member* find_name(const std::vector<wire::member>& members, const std::string& name)
 {
@@ -37,7 +40,7 @@
 {
     // A list that is not committed may be one that the present leader does not have.
     const bool listed = holds(log_.members_at(commit_), self());
-    const bool silent = now - leader_heard_.value_or(opened_at_) >= silence_before_rejoin;
+    const bool silent = now - leader_heard_.value_or(opened_at_) >= settings_.timing.silence_before_rejoin;
     if (now < join_due_ || (listed && !silent)) {
         return;
     }
@@ -50,10 +53,13 @@
     // A folder that was a member once is taken back only in place of another one of its name; it stays away
     // if its name was removed.
     r.replaces = listed || log_.was_voter(self()) ? self() : 0;
-    for (const endpoint& peer : settings_.peers) {
-        if (peer != settings_.address) {
-            send(peer, r, out);
-        }
+    std::set<endpoint> peers(settings_.peers.begin(), settings_.peers.end());
+    for (const wire::member& m : members()) {
+        peers.insert(from_wire(m.address));
+    }
+    peers.erase(settings_.address);
+    for (const endpoint& peer : peers) {
+        send(peer, r, out);
     }
 }
 
@@ -75,7 +81,9 @@
         return;
     }
     const wire::member* former = find_name(members(), m.candidate.name);
-    if (member(folder) != nullptr || (former == nullptr && m.replaces != 0)) {
+    // What an operator has removed stays away; a member that gave way while it was silent may come back.
+    const bool removed = former == nullptr && m.replaces != 0 && settings_.voters == 0;
+    if (member(folder) != nullptr || removed) {
         return;
     }
     if (former != nullptr) {
@@ -119,26 +127,64 @@
     change_members(now, list);
 }
 
+const wire::member* replica_core::find_ready_learner(time_point now) const
+{
+    const auto ready = [&](const wire::member& m) {
+        const auto it = progress_.find(m.folder_id);
+        // `match` counts synced entries only.
+        return !m.voter && it != progress_.end() && it->second.match >= commit_ &&
+               it->second.match + learner_lag >= log_.last_index() &&
+               now - it->second.heard_at < learner_heard_within;
+    };
+    const auto& all = members();
+    const auto it = std::ranges::find_if(all, ready);
+    return it == all.end() ? nullptr : &*it;
+}
+
+const wire::member* replica_core::find_silent(time_point now, bool voter,
+                                              std::chrono::milliseconds limit) const
+{
+    const auto& all = members();
+    const auto it = std::ranges::find_if(all, [&](const wire::member& m) {
+        const auto p = progress_.find(m.folder_id);
+        return m.voter == voter && p != progress_.end() && now - p->second.heard_at >= limit;
+    });
+    return it == all.end() ? nullptr : &*it;
+}
+
 void replica_core::promote_learner(time_point now)
 {
     if (!member_change_allowed(now)) {
         return;
     }
-    wire::member_list list = log_.members();
-    for (wire::member& m : list.members) {
-        const auto it = progress_.find(m.folder_id);
-        if (m.voter || it == progress_.end()) {
-            continue;
-        }
-        // `match` counts synced entries only.
-        const progress& p = it->second;
-        if (p.match >= commit_ && p.match + learner_lag >= log_.last_index() &&
-            now - p.heard_at < learner_heard_within) {
-            m.voter = true;
-            change_members(now, list);
-            return;
+    const wire::member* ready = find_ready_learner(now);
+    const auto voters = std::ranges::count_if(members(), [](const wire::member& m) { return m.voter; });
+    if (ready != nullptr &&
+        (settings_.voters == 0 || voters < static_cast<std::ptrdiff_t>(settings_.voters))) {
+        wire::member_list list = log_.members();
+        for (wire::member& m : list.members) {
+            m.voter = m.voter || m.folder_id == ready->folder_id;
         }
+        change_members(now, list);
+    } else if (settings_.voters != 0) {
+        remove_silent_members(now);
+    }
+}
+
+// One change at a time: a silent voter leaves only while a member stands by that is made a voter next.
+void replica_core::remove_silent_members(time_point now)
+{
+    const wire::member* gone =
+        find_ready_learner(now) != nullptr ? find_silent(now, true, silence_before_succession) : nullptr;
+    if (gone == nullptr) {
+        gone = find_silent(now, false, silence_before_removal);
+    }
+    if (gone == nullptr) {
+        return;
     }
+    wire::member_list list = log_.members();
+    std::erase_if(list.members, [gone](const wire::member& m) { return m.folder_id == gone->folder_id; });
+    change_members(now, list);
 }
 
 void replica_core::change_members(time_point now, const wire::member_list& list)
--- a/src/libperidotcleat/version/table_copy.cpp
+++ b/src/libperidotcleat/version/table_copy.cpp
@@ -30,6 +30,7 @@
     put_each(changes.services);
     put_each(changes.targets);
     put_each(changes.nodes);
+    put_each(changes.routes);
     for (const auto& item : changes.removed) {
         table.remove(item.second);
     }
@@ -97,6 +98,10 @@
     for (const auto& v : page.nodes) {
         staged_.nodes.insert_or_assign(incarnation{v.incarnation}, v);
     }
+    for (const auto& v : page.routes) {
+        staged_.routes.insert_or_assign(v.id, v);
+        staged_.removed.erase(std::pair(object_kind::route, v.id));
+    }
     for (const auto& v : page.tombstones) {
         const auto kind = static_cast<object_kind>(v.kind);
         // The object may have been staged before it was removed.
@@ -104,6 +109,13 @@
         case object_kind::service: staged_.services.erase(service_id{v.id}); break;
         case object_kind::target: staged_.targets.erase(incarnation{v.id}); break;
         case object_kind::node: staged_.nodes.erase(incarnation{v.id}); break;
+        case object_kind::route:
+            if (const auto it = staged_.routes.find(v.id);
+                it != staged_.routes.end() && it->second.revision > v.revision) {
+                continue;
+            }
+            staged_.routes.erase(v.id);
+            break;
         default: continue;
         }
         staged_.removed.insert_or_assign(std::pair(kind, v.id), v);
@@ -137,7 +149,7 @@
     if (next.digest() != static_cast<std::uint64_t>(page.digest)) {
         return false;
     }
-    next.finish_pages(revision{page.revision}, config_version{page.config_version});
+    next.finish_pages(revision{page.revision}, config_version{page.config_version}, page.document_version);
     for (const auto& item : table_.services()) {
         touched.push_back(item.first);
     }
@@ -167,7 +179,7 @@
     }
     sort_unique(touched);
     put_all(table_, staged_);
-    table_.finish_pages(revision{page.revision}, config_version{page.config_version});
+    table_.finish_pages(revision{page.revision}, config_version{page.config_version}, page.document_version);
 }
 
 }  // namespace peridotcleat
--- a/src/libperidotcleat/version/table_pages.cpp
+++ b/src/libperidotcleat/version/table_pages.cpp
@@ -90,6 +90,9 @@
     page.full = full;
     page.start = position;
     page.digest = static_cast<std::int64_t>(digest_);
+    if (document_.version != 0) {
+        page.__set_document_version(document_.version);
+    }
     if (!full && needs_full(position)) {
         page.full = true;
         page.start = cursor_behind(revision{0});
@@ -106,6 +109,9 @@
             fits = append(page.services, services_.at(service_id{k.id}), left, first);
         } else if (k.kind == object_kind::target) {
             fits = append(page.targets, targets_.at(incarnation{k.id}), left, first);
+        } else if (k.kind == object_kind::route) {
+            fits = append(page.routes, routes_.at(k.id), left, first);
+            page.__isset.routes = true;
         } else {
             fits = append(page.nodes, nodes_.at(incarnation{k.id}), left, first);
         }
@@ -139,11 +145,13 @@
     replace(services_, changes.services);
     replace(targets_, changes.targets);
     replace(nodes_, changes.nodes);
+    replace(routes_, changes.routes);
     for (const auto& [key, stone] : changes.removed) {
         switch (key.first) {
         case object_kind::service: subtract(services_, service_id{stone.id}); break;
         case object_kind::target: subtract(targets_, incarnation{stone.id}); break;
         case object_kind::node: subtract(nodes_, incarnation{stone.id}); break;
+        case object_kind::route: subtract(routes_, stone.id); break;
         }
     }
     return digest;
@@ -161,6 +169,11 @@
     s.nodes = values_of(nodes_);
     s.patches = values_of(patches_);
     s.quarantined = values_of(quarantined_);
+    if (document_.version != 0) {
+        s.__set_routes(values_of(routes_));
+        s.__set_document_version(document_.version);
+        s.__set_document(document_.bytes);
+    }
     s.tombstones.reserve(tombstones_.size());
     for (const object_key& k : tombstones_) {
         s.tombstones.push_back(tombstone_of(k));
@@ -192,6 +205,7 @@
     version_ = config_version{s.config_version};
     horizon_ = revision{s.horizon};
     next_service_ = s.next_service;
+    document_ = {s.document_version, s.document};
     if (auto e = load_objects(s)) {
         return e;
     }
@@ -229,19 +243,28 @@
         }
         put(v);
     }
+    for (const wire::route_entry& v : s.routes) {
+        const bool unknown = std::ranges::any_of(v.backends, [this](const wire::route_backend& b) {
+            return !services_.contains(service_id{b.service_id});
+        });
+        if (unknown || routes_.contains(v.id) || v.revision <= 0 || v.revision > s.revision) {
+            return corrupt("route " + to_string(route_address(v.id)) + ": address or service is wrong");
+        }
+        put(v);
+    }
     return std::nullopt;
 }
 
 std::optional<error> table_state::load_records(const wire::table_snapshot& s)
 {
-    const std::size_t live = services_.size() + targets_.size() + nodes_.size();
+    const std::size_t live = services_.size() + targets_.size() + nodes_.size() + routes_.size();
     for (const wire::tombstone& v : s.tombstones) {
-        if (v.kind < 1 || v.kind > 3 || v.revision <= 0 || v.revision > s.revision) {
+        if (v.kind < 1 || v.kind > 4 || v.revision <= 0 || v.revision > s.revision) {
             return corrupt("tombstone of object " + std::to_string(v.id) + " is out of range");
         }
         remove(v);
     }
-    if (services_.size() + targets_.size() + nodes_.size() != live ||
+    if (services_.size() + targets_.size() + nodes_.size() + routes_.size() != live ||
         tombstones_.size() != s.tombstones.size()) {
         return corrupt("a tombstone is repeated or its object is in the table");
     }
--- /dev/null
+++ b/src/libperidotcleat/version/table_replace.cpp
@@ -0,0 +1,174 @@
+#include <algorithm>
+#include <set>
+
+#include "peridotcleat/description.h"
+#include "peridotcleat/table_state.h"
+
+namespace peridotcleat {
+
+namespace {
+
+error invalid(std::string message) { return {error_code::description_invalid_value, std::move(message)}; }
+
+std::optional<error> check_route(const wire::replacement_route& route, std::size_t services)
+{
+    const std::string name = "route " + to_string(from_wire(route.address));
+    if (!from_wire(route.address).valid()) {
+        return invalid(name + ": must be an address and port");
+    }
+    std::int64_t sum = 0;
+    for (const wire::route_backend& b : route.backends) {
+        if (b.service_id < 0 || b.service_id >= static_cast<std::int64_t>(services)) {
+            return error{error_code::service_unknown, name + ": names a service that is not described"};
+        }
+        if (b.weight < 0 || b.weight > max_route_weight) {
+            return invalid(name + ": weight " + std::to_string(b.weight) + " is out of range");
+        }
+        sum += b.weight;
+    }
+    return sum > 0 ? std::nullopt : std::optional(invalid(name + ": no service has a weight"));
+}
+
+// Keeps the services that the address `present` sent flows to and `next` does not.
+void keep_formers(const wire::route_entry& present, wire::route_entry& next, wall_time now)
+{
+    const auto taken = [](const auto& list, std::int64_t id) {
+        return std::ranges::any_of(list, [id](const auto& b) { return b.service_id == id; });
+    };
+    std::vector<wire::route_former> formers;
+    for (const wire::route_backend& b : present.backends) {
+        if (!taken(next.backends, b.service_id)) {
+            wire::route_former former;
+            former.service_id = b.service_id;
+            former.until_ms = (now + table_state::former_time).time_since_epoch().count();
+            formers.push_back(former);
+        }
+    }
+    for (const wire::route_former& former : present.formers) {
+        if (former.until_ms > now.time_since_epoch().count() && !taken(next.backends, former.service_id) &&
+            !taken(formers, former.service_id)) {
+            formers.push_back(former);
+        }
+    }
+    if (!formers.empty()) {
+        next.__set_formers(formers);
+    }
+}
+
+}  // namespace
+
+std::optional<error> check_replacement(const wire::replacement& wanted)
+{
+    if (wanted.version < 1) {
+        return invalid("version: must be 1 or more");
+    }
+    if (wanted.services.size() > table_state::max_services ||
+        wanted.routes.size() > table_state::max_routes) {
+        return error{error_code::table_full, "more services or routes than a table may hold"};
+    }
+    std::set<std::string> names;
+    for (const std::string& name : wanted.services) {
+        if (!is_service_name(name)) {
+            return invalid("service name: must be 1 to 63 letters, digits, dots, dashes and underscores");
+        }
+        if (!names.insert(name).second) {
+            return error{error_code::service_exists, "service \"" + name + "\" is described twice"};
+        }
+    }
+    std::set<endpoint> addresses;
+    for (const wire::replacement_route& route : wanted.routes) {
+        if (auto e = check_route(route, wanted.services.size())) {
+            return e;
+        }
+        if (!addresses.insert(from_wire(route.address)).second) {
+            return error{error_code::address_overlap,
+                         "route " + to_string(from_wire(route.address)) + " is described twice"};
+        }
+    }
+    return std::nullopt;
+}
+
+void table_state::replace(revision at, const wire::replacement& wanted, wall_time now, apply_outcome& out)
+{
+    patch_answer& answer = out.patch.emplace();
+    answer.at = at;
+    if (wanted.version <= document_.version) {
+        // A later description is in force already, so this one never will be; its author is told the truth.
+        answer.status = patch_status::already_accepted;
+        answer.version = config_version{document_.version};
+        return;
+    }
+    if (auto e = check_replacement(wanted)) {
+        answer.status = patch_status::invalid;
+        answer.reason = *e;
+        out.refused = std::move(e);
+        return;
+    }
+    replace_services(at, wanted, now, out);
+    replace_routes(at, wanted, now);
+    document_ = {wanted.version, wanted.document};
+    answer.status = patch_status::accepted;
+    answer.version = config_version{wanted.version};
+}
+
+void table_state::replace_services(revision at, const wire::replacement& wanted, wall_time now,
+                                   apply_outcome& out)
+{
+    std::vector<service_id> gone;
+    for (const auto& [id, entry] : services_) {
+        if (std::ranges::find(wanted.services, entry.name) == wanted.services.end()) {
+            gone.push_back(id);
+        }
+    }
+    for (const service_id id : gone) {
+        remove_service(at, id, now);
+        out.touched.push_back(id);
+    }
+    for (const std::string& name : wanted.services) {
+        if (find_service(name)) {
+            continue;
+        }
+        wire::service_entry entry;
+        entry.id = next_service_++;
+        entry.name = name;
+        entry.revision = at.value;
+        put(entry);
+        out.touched.push_back(service_id{entry.id});
+    }
+}
+
+void table_state::replace_routes(revision at, const wire::replacement& wanted, wall_time now)
+{
+    std::map<std::int64_t, wire::route_entry> next;
+    for (const wire::replacement_route& route : wanted.routes) {
+        wire::route_entry entry;
+        entry.id = route_number(from_wire(route.address));
+        entry.revision = at.value;
+        for (wire::route_backend backend : route.backends) {
+            backend.service_id =
+                find_service(wanted.services[static_cast<std::size_t>(backend.service_id)])->value;
+            entry.backends.push_back(backend);
+        }
+        next.emplace(entry.id, std::move(entry));
+    }
+    std::vector<std::int64_t> gone;
+    for (const auto& [id, entry] : routes_) {
+        if (!next.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const std::int64_t id : gone) {
+        bury(at, pvt::object_kind::route, id);
+    }
+    for (auto& [id, entry] : next) {
+        const auto present = routes_.find(id);
+        if (present == routes_.end()) {
+            put(entry);
+        } else if (present->second.backends != entry.backends) {
+            keep_formers(present->second, entry, now);
+            put(entry);
+        }
+    }
+}
+
+}  // namespace peridotcleat
--- a/src/libperidotcleat/version/table_state.cpp
+++ b/src/libperidotcleat/version/table_state.cpp
@@ -55,6 +55,11 @@
     return {v.revision, object_kind::node, v.incarnation};
 }
 
+constexpr object_key key_of(const wire::route_entry& v) noexcept
+{
+    return {v.revision, object_kind::route, v.id};
+}
+
 // Erases `key` only if it still names `id`: in a node's copy another object may have taken the name or
 // address before the former one is updated.
 template <class Map, class Key, class Id>
@@ -122,7 +127,7 @@
 {
     const auto& s = c.__isset;
     return int{s.new_patch} + int{s.join_target} + int{s.drain_target} + int{s.leave_target} +
-           int{s.join_node} + int{s.leave_node};
+           int{s.join_node} + int{s.leave_node} + int{s.replace};
 }
 
 error unknown_id(const char* what, incarnation id)
@@ -176,6 +181,19 @@
         .value();
 }
 
+std::uint64_t pvt::digest_of(const wire::route_entry& v) noexcept
+{
+    field_digest d(object_kind::route);
+    d.add(v.id).add(v.revision);
+    for (const wire::route_backend& b : v.backends) {
+        d.add(b.service_id).add(b.weight);
+    }
+    for (const wire::route_former& former : v.formers) {
+        d.add(former.service_id).add(former.until_ms);
+    }
+    return d.value();
+}
+
 const char* to_string(patch_status s) noexcept
 {
     switch (s) {
@@ -216,6 +234,8 @@
         leave_target(at, incarnation{change.leave_target}, out);
     } else if (change.__isset.join_node) {
         join_node(at, change.join_node, out);
+    } else if (change.__isset.replace) {
+        replace(at, change.replace, now, out);
     } else {
         leave_node(at, incarnation{change.leave_node}, out);
     }
@@ -377,6 +397,12 @@
     erase_if_names(node_at_, from_wire(value.control), incarnation{value.incarnation});
 }
 
+void table_state::erase_live(const wire::route_entry& value)
+{
+    digest_ -= pvt::digest_of(value);
+    order_.erase(key_of(value));
+}
+
 void table_state::put(const wire::service_entry& value)
 {
     const service_id id{value.id};
@@ -417,6 +443,18 @@
     node_at_[from_wire(value.control)] = id;
 }
 
+void table_state::put(const wire::route_entry& value)
+{
+    // A route has no life of its own: its number comes back with its address, and takes the tombstone's
+    // place.
+    if (const auto it = routes_.find(value.id); it != routes_.end()) {
+        erase_live(it->second);
+    }
+    routes_.insert_or_assign(value.id, value);
+    digest_ += pvt::digest_of(value);
+    order_[key_of(value)] = false;
+}
+
 void table_state::remove(const wire::tombstone& value)
 {
     const auto erase_from = [this](auto& map, auto id) {
@@ -430,6 +468,14 @@
     case object_kind::service: erase_from(services_, service_id{value.id}); break;
     case object_kind::target: erase_from(targets_, incarnation{value.id}); break;
     case object_kind::node: erase_from(nodes_, incarnation{value.id}); break;
+    case object_kind::route:
+        // A route that came back after the removal stays.
+        if (const auto it = routes_.find(value.id);
+            it != routes_.end() && it->second.revision < value.revision) {
+            erase_live(it->second);
+            routes_.erase(it);
+        }
+        break;
     default: return;
     }
     const object_key key{value.revision, kind, value.id};
@@ -437,9 +483,10 @@
     tombstones_.insert(key);
 }
 
-void table_state::finish_pages(revision at, config_version version)
+void table_state::finish_pages(revision at, config_version version, std::int64_t document_version)
 {
     revision_ = std::max(revision_, at);
+    document_.version = std::max(document_.version, document_version);
     version_ = std::max(version_, version);
     drop_old_tombstones();
     if (tombstones_.size() == max_tombstones) {
