--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -560,6 +560,185 @@
 }
 
 
+route_backend::~route_backend() noexcept {
+}
+
+
+void route_backend::__set_service_id(const int64_t val) {
+  this->service_id = val;
+}
+
+void route_backend::__set_weight(const int32_t val) {
+  this->weight = val;
+}
+std::ostream& operator<<(std::ostream& out, const route_backend& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(route_backend &a, route_backend &b) {
+  using ::std::swap;
+  swap(a.service_id, b.service_id);
+  swap(a.weight, b.weight);
+}
+
+route_backend::route_backend(const route_backend& other30) noexcept {
+  service_id = other30.service_id;
+  weight = other30.weight;
+}
+route_backend::route_backend(route_backend&& other31) noexcept {
+  service_id = other31.service_id;
+  weight = other31.weight;
+}
+route_backend& route_backend::operator=(const route_backend& other32) noexcept {
+  service_id = other32.service_id;
+  weight = other32.weight;
+  return *this;
+}
+route_backend& route_backend::operator=(route_backend&& other33) noexcept {
+  service_id = other33.service_id;
+  weight = other33.weight;
+  return *this;
+}
+void route_backend::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "route_backend(";
+  out << "service_id=" << to_string(service_id);
+  out << ", " << "weight=" << to_string(weight);
+  out << ")";
+}
+
+
+route_former::~route_former() noexcept {
+}
+
+
+void route_former::__set_service_id(const int64_t val) {
+  this->service_id = val;
+}
+
+void route_former::__set_until_ms(const int64_t val) {
+  this->until_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const route_former& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(route_former &a, route_former &b) {
+  using ::std::swap;
+  swap(a.service_id, b.service_id);
+  swap(a.until_ms, b.until_ms);
+}
+
+route_former::route_former(const route_former& other34) noexcept {
+  service_id = other34.service_id;
+  until_ms = other34.until_ms;
+}
+route_former::route_former(route_former&& other35) noexcept {
+  service_id = other35.service_id;
+  until_ms = other35.until_ms;
+}
+route_former& route_former::operator=(const route_former& other36) noexcept {
+  service_id = other36.service_id;
+  until_ms = other36.until_ms;
+  return *this;
+}
+route_former& route_former::operator=(route_former&& other37) noexcept {
+  service_id = other37.service_id;
+  until_ms = other37.until_ms;
+  return *this;
+}
+void route_former::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "route_former(";
+  out << "service_id=" << to_string(service_id);
+  out << ", " << "until_ms=" << to_string(until_ms);
+  out << ")";
+}
+
+
+route_entry::~route_entry() noexcept {
+}
+
+
+void route_entry::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void route_entry::__set_backends(const std::vector<route_backend> & val) {
+  this->backends = val;
+}
+
+void route_entry::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void route_entry::__set_formers(const std::vector<route_former> & val) {
+  this->formers = val;
+__isset.formers = true;
+}
+std::ostream& operator<<(std::ostream& out, const route_entry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(route_entry &a, route_entry &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.backends, b.backends);
+  swap(a.revision, b.revision);
+  swap(a.formers, b.formers);
+  swap(a.__isset, b.__isset);
+}
+
+route_entry::route_entry(const route_entry& other50) {
+  id = other50.id;
+  backends = other50.backends;
+  revision = other50.revision;
+  formers = other50.formers;
+  __isset = other50.__isset;
+}
+route_entry::route_entry(route_entry&& other51) noexcept {
+  id = other51.id;
+  backends = std::move(other51.backends);
+  revision = other51.revision;
+  formers = std::move(other51.formers);
+  __isset = other51.__isset;
+}
+route_entry& route_entry::operator=(const route_entry& other52) {
+  id = other52.id;
+  backends = other52.backends;
+  revision = other52.revision;
+  formers = other52.formers;
+  __isset = other52.__isset;
+  return *this;
+}
+route_entry& route_entry::operator=(route_entry&& other53) noexcept {
+  id = other53.id;
+  backends = std::move(other53.backends);
+  revision = other53.revision;
+  formers = std::move(other53.formers);
+  __isset = other53.__isset;
+  return *this;
+}
+void route_entry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "route_entry(";
+  out << "id=" << to_string(id);
+  out << ", " << "backends=" << to_string(backends);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "formers="; (__isset.formers ? (out << to_string(formers)) : (out << "<null>"));
+  out << ")";
+}
+
+
 tombstone::~tombstone() noexcept {
 }
 
@@ -589,26 +768,26 @@
   swap(a.revision, b.revision);
 }
 
-tombstone::tombstone(const tombstone& other30) noexcept {
-  kind = other30.kind;
-  id = other30.id;
-  revision = other30.revision;
+tombstone::tombstone(const tombstone& other54) noexcept {
+  kind = other54.kind;
+  id = other54.id;
+  revision = other54.revision;
 }
-tombstone::tombstone(tombstone&& other31) noexcept {
-  kind = other31.kind;
-  id = other31.id;
-  revision = other31.revision;
+tombstone::tombstone(tombstone&& other55) noexcept {
+  kind = other55.kind;
+  id = other55.id;
+  revision = other55.revision;
 }
-tombstone& tombstone::operator=(const tombstone& other32) noexcept {
-  kind = other32.kind;
-  id = other32.id;
-  revision = other32.revision;
+tombstone& tombstone::operator=(const tombstone& other56) noexcept {
+  kind = other56.kind;
+  id = other56.id;
+  revision = other56.revision;
   return *this;
 }
-tombstone& tombstone::operator=(tombstone&& other33) noexcept {
-  kind = other33.kind;
-  id = other33.id;
-  revision = other33.revision;
+tombstone& tombstone::operator=(tombstone&& other57) noexcept {
+  kind = other57.kind;
+  id = other57.id;
+  revision = other57.revision;
   return *this;
 }
 void tombstone::printTo(std::ostream& out) const {
@@ -650,26 +829,26 @@
   swap(a.until_ms, b.until_ms);
 }
 
-quarantine::quarantine(const quarantine& other34) noexcept {
-  address = other34.address;
-  service_id = other34.service_id;
-  until_ms = other34.until_ms;
+quarantine::quarantine(const quarantine& other58) noexcept {
+  address = other58.address;
+  service_id = other58.service_id;
+  until_ms = other58.until_ms;
 }
-quarantine::quarantine(quarantine&& other35) noexcept {
-  address = std::move(other35.address);
-  service_id = other35.service_id;
-  until_ms = other35.until_ms;
+quarantine::quarantine(quarantine&& other59) noexcept {
+  address = std::move(other59.address);
+  service_id = other59.service_id;
+  until_ms = other59.until_ms;
 }
-quarantine& quarantine::operator=(const quarantine& other36) noexcept {
-  address = other36.address;
-  service_id = other36.service_id;
-  until_ms = other36.until_ms;
+quarantine& quarantine::operator=(const quarantine& other60) noexcept {
+  address = other60.address;
+  service_id = other60.service_id;
+  until_ms = other60.until_ms;
   return *this;
 }
-quarantine& quarantine::operator=(quarantine&& other37) noexcept {
-  address = std::move(other37.address);
-  service_id = other37.service_id;
-  until_ms = other37.until_ms;
+quarantine& quarantine::operator=(quarantine&& other61) noexcept {
+  address = std::move(other61.address);
+  service_id = other61.service_id;
+  until_ms = other61.until_ms;
   return *this;
 }
 void quarantine::printTo(std::ostream& out) const {
@@ -729,42 +908,42 @@
   swap(a.__isset, b.__isset);
 }
 
-patch_record::patch_record(const patch_record& other38) {
-  patch_id = other38.patch_id;
-  config_version = other38.config_version;
-  revision = other38.revision;
-  digest = other38.digest;
-  summary = other38.summary;
-  time_ms = other38.time_ms;
-  __isset = other38.__isset;
-}
-patch_record::patch_record(patch_record&& other39) noexcept {
-  patch_id = std::move(other39.patch_id);
-  config_version = other39.config_version;
-  revision = other39.revision;
-  digest = other39.digest;
-  summary = std::move(other39.summary);
-  time_ms = other39.time_ms;
-  __isset = other39.__isset;
-}
-patch_record& patch_record::operator=(const patch_record& other40) {
-  patch_id = other40.patch_id;
-  config_version = other40.config_version;
-  revision = other40.revision;
-  digest = other40.digest;
-  summary = other40.summary;
-  time_ms = other40.time_ms;
-  __isset = other40.__isset;
-  return *this;
-}
-patch_record& patch_record::operator=(patch_record&& other41) noexcept {
-  patch_id = std::move(other41.patch_id);
-  config_version = other41.config_version;
-  revision = other41.revision;
-  digest = other41.digest;
-  summary = std::move(other41.summary);
-  time_ms = other41.time_ms;
-  __isset = other41.__isset;
+patch_record::patch_record(const patch_record& other62) {
+  patch_id = other62.patch_id;
+  config_version = other62.config_version;
+  revision = other62.revision;
+  digest = other62.digest;
+  summary = other62.summary;
+  time_ms = other62.time_ms;
+  __isset = other62.__isset;
+}
+patch_record::patch_record(patch_record&& other63) noexcept {
+  patch_id = std::move(other63.patch_id);
+  config_version = other63.config_version;
+  revision = other63.revision;
+  digest = other63.digest;
+  summary = std::move(other63.summary);
+  time_ms = other63.time_ms;
+  __isset = other63.__isset;
+}
+patch_record& patch_record::operator=(const patch_record& other64) {
+  patch_id = other64.patch_id;
+  config_version = other64.config_version;
+  revision = other64.revision;
+  digest = other64.digest;
+  summary = other64.summary;
+  time_ms = other64.time_ms;
+  __isset = other64.__isset;
+  return *this;
+}
+patch_record& patch_record::operator=(patch_record&& other65) noexcept {
+  patch_id = std::move(other65.patch_id);
+  config_version = other65.config_version;
+  revision = other65.revision;
+  digest = other65.digest;
+  summary = std::move(other65.summary);
+  time_ms = other65.time_ms;
+  __isset = other65.__isset;
   return *this;
 }
 void patch_record::printTo(std::ostream& out) const {
@@ -811,30 +990,30 @@
   swap(a.__isset, b.__isset);
 }
 
-patch_operation::patch_operation(const patch_operation& other42) {
-  kind = other42.kind;
-  name = other42.name;
-  value = other42.value;
-  __isset = other42.__isset;
+patch_operation::patch_operation(const patch_operation& other66) {
+  kind = other66.kind;
+  name = other66.name;
+  value = other66.value;
+  __isset = other66.__isset;
 }
-patch_operation::patch_operation(patch_operation&& other43) noexcept {
-  kind = other43.kind;
-  name = std::move(other43.name);
-  value = std::move(other43.value);
-  __isset = other43.__isset;
+patch_operation::patch_operation(patch_operation&& other67) noexcept {
+  kind = other67.kind;
+  name = std::move(other67.name);
+  value = std::move(other67.value);
+  __isset = other67.__isset;
 }
-patch_operation& patch_operation::operator=(const patch_operation& other44) {
-  kind = other44.kind;
-  name = other44.name;
-  value = other44.value;
-  __isset = other44.__isset;
+patch_operation& patch_operation::operator=(const patch_operation& other68) {
+  kind = other68.kind;
+  name = other68.name;
+  value = other68.value;
+  __isset = other68.__isset;
   return *this;
 }
-patch_operation& patch_operation::operator=(patch_operation&& other45) noexcept {
-  kind = other45.kind;
-  name = std::move(other45.name);
-  value = std::move(other45.value);
-  __isset = other45.__isset;
+patch_operation& patch_operation::operator=(patch_operation&& other69) noexcept {
+  kind = other69.kind;
+  name = std::move(other69.name);
+  value = std::move(other69.value);
+  __isset = other69.__isset;
   return *this;
 }
 void patch_operation::printTo(std::ostream& out) const {
@@ -876,26 +1055,26 @@
   swap(a.operations, b.operations);
 }
 
-patch::patch(const patch& other52) {
-  patch_id = other52.patch_id;
-  base = other52.base;
-  operations = other52.operations;
+patch::patch(const patch& other76) {
+  patch_id = other76.patch_id;
+  base = other76.base;
+  operations = other76.operations;
 }
-patch::patch(patch&& other53) noexcept {
-  patch_id = std::move(other53.patch_id);
-  base = other53.base;
-  operations = std::move(other53.operations);
+patch::patch(patch&& other77) noexcept {
+  patch_id = std::move(other77.patch_id);
+  base = other77.base;
+  operations = std::move(other77.operations);
 }
-patch& patch::operator=(const patch& other54) {
-  patch_id = other54.patch_id;
-  base = other54.base;
-  operations = other54.operations;
+patch& patch::operator=(const patch& other78) {
+  patch_id = other78.patch_id;
+  base = other78.base;
+  operations = other78.operations;
   return *this;
 }
-patch& patch::operator=(patch&& other55) noexcept {
-  patch_id = std::move(other55.patch_id);
-  base = other55.base;
-  operations = std::move(other55.operations);
+patch& patch::operator=(patch&& other79) noexcept {
+  patch_id = std::move(other79.patch_id);
+  base = other79.base;
+  operations = std::move(other79.operations);
   return *this;
 }
 void patch::printTo(std::ostream& out) const {
@@ -934,26 +1113,26 @@
   swap(a.__isset, b.__isset);
 }
 
-target_join::target_join(const target_join& other56) {
-  value = other56.value;
-  replaces = other56.replaces;
-  __isset = other56.__isset;
+target_join::target_join(const target_join& other80) {
+  value = other80.value;
+  replaces = other80.replaces;
+  __isset = other80.__isset;
 }
-target_join::target_join(target_join&& other57) noexcept {
-  value = std::move(other57.value);
-  replaces = other57.replaces;
-  __isset = other57.__isset;
+target_join::target_join(target_join&& other81) noexcept {
+  value = std::move(other81.value);
+  replaces = other81.replaces;
+  __isset = other81.__isset;
 }
-target_join& target_join::operator=(const target_join& other58) {
-  value = other58.value;
-  replaces = other58.replaces;
-  __isset = other58.__isset;
+target_join& target_join::operator=(const target_join& other82) {
+  value = other82.value;
+  replaces = other82.replaces;
+  __isset = other82.__isset;
   return *this;
 }
-target_join& target_join::operator=(target_join&& other59) noexcept {
-  value = std::move(other59.value);
-  replaces = other59.replaces;
-  __isset = other59.__isset;
+target_join& target_join::operator=(target_join&& other83) noexcept {
+  value = std::move(other83.value);
+  replaces = other83.replaces;
+  __isset = other83.__isset;
   return *this;
 }
 void target_join::printTo(std::ostream& out) const {
@@ -991,26 +1170,26 @@
   swap(a.__isset, b.__isset);
 }
 
-node_join::node_join(const node_join& other60) {
-  value = other60.value;
-  replaces = other60.replaces;
-  __isset = other60.__isset;
+node_join::node_join(const node_join& other84) {
+  value = other84.value;
+  replaces = other84.replaces;
+  __isset = other84.__isset;
 }
-node_join::node_join(node_join&& other61) noexcept {
-  value = std::move(other61.value);
-  replaces = other61.replaces;
-  __isset = other61.__isset;
+node_join::node_join(node_join&& other85) noexcept {
+  value = std::move(other85.value);
+  replaces = other85.replaces;
+  __isset = other85.__isset;
 }
-node_join& node_join::operator=(const node_join& other62) {
-  value = other62.value;
-  replaces = other62.replaces;
-  __isset = other62.__isset;
+node_join& node_join::operator=(const node_join& other86) {
+  value = other86.value;
+  replaces = other86.replaces;
+  __isset = other86.__isset;
   return *this;
 }
-node_join& node_join::operator=(node_join&& other63) noexcept {
-  value = std::move(other63.value);
-  replaces = other63.replaces;
-  __isset = other63.__isset;
+node_join& node_join::operator=(node_join&& other87) noexcept {
+  value = std::move(other87.value);
+  replaces = other87.replaces;
+  __isset = other87.__isset;
   return *this;
 }
 void node_join::printTo(std::ostream& out) const {
@@ -1022,6 +1201,128 @@
 }
 
 
+replacement_route::~replacement_route() noexcept {
+}
+
+
+void replacement_route::__set_address(const endpoint& val) {
+  this->address = val;
+}
+
+void replacement_route::__set_backends(const std::vector<route_backend> & val) {
+  this->backends = val;
+}
+std::ostream& operator<<(std::ostream& out, const replacement_route& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(replacement_route &a, replacement_route &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.backends, b.backends);
+}
+
+replacement_route::replacement_route(const replacement_route& other94) {
+  address = other94.address;
+  backends = other94.backends;
+}
+replacement_route::replacement_route(replacement_route&& other95) noexcept {
+  address = std::move(other95.address);
+  backends = std::move(other95.backends);
+}
+replacement_route& replacement_route::operator=(const replacement_route& other96) {
+  address = other96.address;
+  backends = other96.backends;
+  return *this;
+}
+replacement_route& replacement_route::operator=(replacement_route&& other97) noexcept {
+  address = std::move(other97.address);
+  backends = std::move(other97.backends);
+  return *this;
+}
+void replacement_route::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "replacement_route(";
+  out << "address=" << to_string(address);
+  out << ", " << "backends=" << to_string(backends);
+  out << ")";
+}
+
+
+replacement::~replacement() noexcept {
+}
+
+
+void replacement::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void replacement::__set_services(const std::vector<std::string> & val) {
+  this->services = val;
+}
+
+void replacement::__set_routes(const std::vector<replacement_route> & val) {
+  this->routes = val;
+}
+
+void replacement::__set_document(const std::string& val) {
+  this->document = val;
+}
+std::ostream& operator<<(std::ostream& out, const replacement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(replacement &a, replacement &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.services, b.services);
+  swap(a.routes, b.routes);
+  swap(a.document, b.document);
+}
+
+replacement::replacement(const replacement& other110) {
+  version = other110.version;
+  services = other110.services;
+  routes = other110.routes;
+  document = other110.document;
+}
+replacement::replacement(replacement&& other111) noexcept {
+  version = other111.version;
+  services = std::move(other111.services);
+  routes = std::move(other111.routes);
+  document = std::move(other111.document);
+}
+replacement& replacement::operator=(const replacement& other112) {
+  version = other112.version;
+  services = other112.services;
+  routes = other112.routes;
+  document = other112.document;
+  return *this;
+}
+replacement& replacement::operator=(replacement&& other113) noexcept {
+  version = other113.version;
+  services = std::move(other113.services);
+  routes = std::move(other113.routes);
+  document = std::move(other113.document);
+  return *this;
+}
+void replacement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "replacement(";
+  out << "version=" << to_string(version);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "document=" << to_string(document);
+  out << ")";
+}
+
+
 change::~change() noexcept {
 }
 
@@ -1059,6 +1360,11 @@
   this->leave_node = val;
 __isset.leave_node = true;
 }
+
+void change::__set_replace(const replacement& val) {
+  this->replace = val;
+__isset.replace = true;
+}
 std::ostream& operator<<(std::ostream& out, const change& obj)
 {
   obj.printTo(out);
@@ -1075,49 +1381,54 @@
   swap(a.leave_target, b.leave_target);
   swap(a.join_node, b.join_node);
   swap(a.leave_node, b.leave_node);
+  swap(a.replace, b.replace);
   swap(a.__isset, b.__isset);
 }
 
-change::change(const change& other64) {
-  time_ms = other64.time_ms;
-  new_patch = other64.new_patch;
-  join_target = other64.join_target;
-  drain_target = other64.drain_target;
-  leave_target = other64.leave_target;
-  join_node = other64.join_node;
-  leave_node = other64.leave_node;
-  __isset = other64.__isset;
-}
-change::change(change&& other65) noexcept {
-  time_ms = other65.time_ms;
-  new_patch = std::move(other65.new_patch);
-  join_target = std::move(other65.join_target);
-  drain_target = other65.drain_target;
-  leave_target = other65.leave_target;
-  join_node = std::move(other65.join_node);
-  leave_node = other65.leave_node;
-  __isset = other65.__isset;
-}
-change& change::operator=(const change& other66) {
-  time_ms = other66.time_ms;
-  new_patch = other66.new_patch;
-  join_target = other66.join_target;
-  drain_target = other66.drain_target;
-  leave_target = other66.leave_target;
-  join_node = other66.join_node;
-  leave_node = other66.leave_node;
-  __isset = other66.__isset;
+change::change(const change& other114) {
+  time_ms = other114.time_ms;
+  new_patch = other114.new_patch;
+  join_target = other114.join_target;
+  drain_target = other114.drain_target;
+  leave_target = other114.leave_target;
+  join_node = other114.join_node;
+  leave_node = other114.leave_node;
+  replace = other114.replace;
+  __isset = other114.__isset;
+}
+change::change(change&& other115) noexcept {
+  time_ms = other115.time_ms;
+  new_patch = std::move(other115.new_patch);
+  join_target = std::move(other115.join_target);
+  drain_target = other115.drain_target;
+  leave_target = other115.leave_target;
+  join_node = std::move(other115.join_node);
+  leave_node = other115.leave_node;
+  replace = std::move(other115.replace);
+  __isset = other115.__isset;
+}
+change& change::operator=(const change& other116) {
+  time_ms = other116.time_ms;
+  new_patch = other116.new_patch;
+  join_target = other116.join_target;
+  drain_target = other116.drain_target;
+  leave_target = other116.leave_target;
+  join_node = other116.join_node;
+  leave_node = other116.leave_node;
+  replace = other116.replace;
+  __isset = other116.__isset;
   return *this;
 }
-change& change::operator=(change&& other67) noexcept {
-  time_ms = other67.time_ms;
-  new_patch = std::move(other67.new_patch);
-  join_target = std::move(other67.join_target);
-  drain_target = other67.drain_target;
-  leave_target = other67.leave_target;
-  join_node = std::move(other67.join_node);
-  leave_node = other67.leave_node;
-  __isset = other67.__isset;
+change& change::operator=(change&& other117) noexcept {
+  time_ms = other117.time_ms;
+  new_patch = std::move(other117.new_patch);
+  join_target = std::move(other117.join_target);
+  drain_target = other117.drain_target;
+  leave_target = other117.leave_target;
+  join_node = std::move(other117.join_node);
+  leave_node = other117.leave_node;
+  replace = std::move(other117.replace);
+  __isset = other117.__isset;
   return *this;
 }
 void change::printTo(std::ostream& out) const {
@@ -1130,6 +1441,7 @@
   out << ", " << "leave_target="; (__isset.leave_target ? (out << to_string(leave_target)) : (out << "<null>"));
   out << ", " << "join_node="; (__isset.join_node ? (out << to_string(join_node)) : (out << "<null>"));
   out << ", " << "leave_node="; (__isset.leave_node ? (out << to_string(leave_node)) : (out << "<null>"));
+  out << ", " << "replace="; (__isset.replace ? (out << to_string(replace)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1168,30 +1480,30 @@
   swap(a.data, b.data);
 }
 
-log_entry::log_entry(const log_entry& other68) {
-  index = other68.index;
-  term = other68.term;
-  kind = other68.kind;
-  data = other68.data;
+log_entry::log_entry(const log_entry& other118) {
+  index = other118.index;
+  term = other118.term;
+  kind = other118.kind;
+  data = other118.data;
 }
-log_entry::log_entry(log_entry&& other69) noexcept {
-  index = other69.index;
-  term = other69.term;
-  kind = other69.kind;
-  data = std::move(other69.data);
+log_entry::log_entry(log_entry&& other119) noexcept {
+  index = other119.index;
+  term = other119.term;
+  kind = other119.kind;
+  data = std::move(other119.data);
 }
-log_entry& log_entry::operator=(const log_entry& other70) {
-  index = other70.index;
-  term = other70.term;
-  kind = other70.kind;
-  data = other70.data;
+log_entry& log_entry::operator=(const log_entry& other120) {
+  index = other120.index;
+  term = other120.term;
+  kind = other120.kind;
+  data = other120.data;
   return *this;
 }
-log_entry& log_entry::operator=(log_entry&& other71) noexcept {
-  index = other71.index;
-  term = other71.term;
-  kind = other71.kind;
-  data = std::move(other71.data);
+log_entry& log_entry::operator=(log_entry&& other121) noexcept {
+  index = other121.index;
+  term = other121.term;
+  kind = other121.kind;
+  data = std::move(other121.data);
   return *this;
 }
 void log_entry::printTo(std::ostream& out) const {
@@ -1239,30 +1551,30 @@
   swap(a.voter, b.voter);
 }
 
-member::member(const member& other72) {
-  folder_id = other72.folder_id;
-  name = other72.name;
-  address = other72.address;
-  voter = other72.voter;
+member::member(const member& other122) {
+  folder_id = other122.folder_id;
+  name = other122.name;
+  address = other122.address;
+  voter = other122.voter;
 }
-member::member(member&& other73) noexcept {
-  folder_id = other73.folder_id;
-  name = std::move(other73.name);
-  address = std::move(other73.address);
-  voter = other73.voter;
+member::member(member&& other123) noexcept {
+  folder_id = other123.folder_id;
+  name = std::move(other123.name);
+  address = std::move(other123.address);
+  voter = other123.voter;
 }
-member& member::operator=(const member& other74) {
-  folder_id = other74.folder_id;
-  name = other74.name;
-  address = other74.address;
-  voter = other74.voter;
+member& member::operator=(const member& other124) {
+  folder_id = other124.folder_id;
+  name = other124.name;
+  address = other124.address;
+  voter = other124.voter;
   return *this;
 }
-member& member::operator=(member&& other75) noexcept {
-  folder_id = other75.folder_id;
-  name = std::move(other75.name);
-  address = std::move(other75.address);
-  voter = other75.voter;
+member& member::operator=(member&& other125) noexcept {
+  folder_id = other125.folder_id;
+  name = std::move(other125.name);
+  address = std::move(other125.address);
+  voter = other125.voter;
   return *this;
 }
 void member::printTo(std::ostream& out) const {
@@ -1295,18 +1607,18 @@
   swap(a.members, b.members);
 }
 
-member_list::member_list(const member_list& other82) {
-  members = other82.members;
+member_list::member_list(const member_list& other132) {
+  members = other132.members;
 }
-member_list::member_list(member_list&& other83) noexcept {
-  members = std::move(other83.members);
+member_list::member_list(member_list&& other133) noexcept {
+  members = std::move(other133.members);
 }
-member_list& member_list::operator=(const member_list& other84) {
-  members = other84.members;
+member_list& member_list::operator=(const member_list& other134) {
+  members = other134.members;
   return *this;
 }
-member_list& member_list::operator=(member_list&& other85) noexcept {
-  members = std::move(other85.members);
+member_list& member_list::operator=(member_list&& other135) noexcept {
+  members = std::move(other135.members);
   return *this;
 }
 void member_list::printTo(std::ostream& out) const {
@@ -1360,6 +1672,21 @@
 void table_snapshot::__set_quarantined(const std::vector<quarantine> & val) {
   this->quarantined = val;
 }
+
+void table_snapshot::__set_routes(const std::vector<route_entry> & val) {
+  this->routes = val;
+__isset.routes = true;
+}
+
+void table_snapshot::__set_document_version(const int64_t val) {
+  this->document_version = val;
+__isset.document_version = true;
+}
+
+void table_snapshot::__set_document(const std::string& val) {
+  this->document = val;
+__isset.document = true;
+}
 std::ostream& operator<<(std::ostream& out, const table_snapshot& obj)
 {
   obj.printTo(out);
@@ -1379,56 +1706,76 @@
   swap(a.tombstones, b.tombstones);
   swap(a.patches, b.patches);
   swap(a.quarantined, b.quarantined);
+  swap(a.routes, b.routes);
+  swap(a.document_version, b.document_version);
+  swap(a.document, b.document);
+  swap(a.__isset, b.__isset);
 }
 
-table_snapshot::table_snapshot(const table_snapshot& other122) {
-  revision = other122.revision;
-  config_version = other122.config_version;
-  horizon = other122.horizon;
-  next_service = other122.next_service;
-  services = other122.services;
-  targets = other122.targets;
-  nodes = other122.nodes;
-  tombstones = other122.tombstones;
-  patches = other122.patches;
-  quarantined = other122.quarantined;
-}
-table_snapshot::table_snapshot(table_snapshot&& other123) noexcept {
-  revision = other123.revision;
-  config_version = other123.config_version;
-  horizon = other123.horizon;
-  next_service = other123.next_service;
-  services = std::move(other123.services);
-  targets = std::move(other123.targets);
-  nodes = std::move(other123.nodes);
-  tombstones = std::move(other123.tombstones);
-  patches = std::move(other123.patches);
-  quarantined = std::move(other123.quarantined);
-}
-table_snapshot& table_snapshot::operator=(const table_snapshot& other124) {
-  revision = other124.revision;
-  config_version = other124.config_version;
-  horizon = other124.horizon;
-  next_service = other124.next_service;
-  services = other124.services;
-  targets = other124.targets;
-  nodes = other124.nodes;
-  tombstones = other124.tombstones;
-  patches = other124.patches;
-  quarantined = other124.quarantined;
-  return *this;
-}
-table_snapshot& table_snapshot::operator=(table_snapshot&& other125) noexcept {
-  revision = other125.revision;
-  config_version = other125.config_version;
-  horizon = other125.horizon;
-  next_service = other125.next_service;
-  services = std::move(other125.services);
-  targets = std::move(other125.targets);
-  nodes = std::move(other125.nodes);
-  tombstones = std::move(other125.tombstones);
-  patches = std::move(other125.patches);
-  quarantined = std::move(other125.quarantined);
+table_snapshot::table_snapshot(const table_snapshot& other178) {
+  revision = other178.revision;
+  config_version = other178.config_version;
+  horizon = other178.horizon;
+  next_service = other178.next_service;
+  services = other178.services;
+  targets = other178.targets;
+  nodes = other178.nodes;
+  tombstones = other178.tombstones;
+  patches = other178.patches;
+  quarantined = other178.quarantined;
+  routes = other178.routes;
+  document_version = other178.document_version;
+  document = other178.document;
+  __isset = other178.__isset;
+}
+table_snapshot::table_snapshot(table_snapshot&& other179) noexcept {
+  revision = other179.revision;
+  config_version = other179.config_version;
+  horizon = other179.horizon;
+  next_service = other179.next_service;
+  services = std::move(other179.services);
+  targets = std::move(other179.targets);
+  nodes = std::move(other179.nodes);
+  tombstones = std::move(other179.tombstones);
+  patches = std::move(other179.patches);
+  quarantined = std::move(other179.quarantined);
+  routes = std::move(other179.routes);
+  document_version = other179.document_version;
+  document = std::move(other179.document);
+  __isset = other179.__isset;
+}
+table_snapshot& table_snapshot::operator=(const table_snapshot& other180) {
+  revision = other180.revision;
+  config_version = other180.config_version;
+  horizon = other180.horizon;
+  next_service = other180.next_service;
+  services = other180.services;
+  targets = other180.targets;
+  nodes = other180.nodes;
+  tombstones = other180.tombstones;
+  patches = other180.patches;
+  quarantined = other180.quarantined;
+  routes = other180.routes;
+  document_version = other180.document_version;
+  document = other180.document;
+  __isset = other180.__isset;
+  return *this;
+}
+table_snapshot& table_snapshot::operator=(table_snapshot&& other181) noexcept {
+  revision = other181.revision;
+  config_version = other181.config_version;
+  horizon = other181.horizon;
+  next_service = other181.next_service;
+  services = std::move(other181.services);
+  targets = std::move(other181.targets);
+  nodes = std::move(other181.nodes);
+  tombstones = std::move(other181.tombstones);
+  patches = std::move(other181.patches);
+  quarantined = std::move(other181.quarantined);
+  routes = std::move(other181.routes);
+  document_version = other181.document_version;
+  document = std::move(other181.document);
+  __isset = other181.__isset;
   return *this;
 }
 void table_snapshot::printTo(std::ostream& out) const {
@@ -1444,6 +1791,9 @@
   out << ", " << "tombstones=" << to_string(tombstones);
   out << ", " << "patches=" << to_string(patches);
   out << ", " << "quarantined=" << to_string(quarantined);
+  out << ", " << "routes="; (__isset.routes ? (out << to_string(routes)) : (out << "<null>"));
+  out << ", " << "document_version="; (__isset.document_version ? (out << to_string(document_version)) : (out << "<null>"));
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1472,22 +1822,22 @@
   swap(a.payload, b.payload);
 }
 
-caller_packet::caller_packet(const caller_packet& other126) {
-  key = other126.key;
-  payload = other126.payload;
+caller_packet::caller_packet(const caller_packet& other182) {
+  key = other182.key;
+  payload = other182.payload;
 }
-caller_packet::caller_packet(caller_packet&& other127) noexcept {
-  key = std::move(other127.key);
-  payload = std::move(other127.payload);
+caller_packet::caller_packet(caller_packet&& other183) noexcept {
+  key = std::move(other183.key);
+  payload = std::move(other183.payload);
 }
-caller_packet& caller_packet::operator=(const caller_packet& other128) {
-  key = other128.key;
-  payload = other128.payload;
+caller_packet& caller_packet::operator=(const caller_packet& other184) {
+  key = other184.key;
+  payload = other184.payload;
   return *this;
 }
-caller_packet& caller_packet::operator=(caller_packet&& other129) noexcept {
-  key = std::move(other129.key);
-  payload = std::move(other129.payload);
+caller_packet& caller_packet::operator=(caller_packet&& other185) noexcept {
+  key = std::move(other185.key);
+  payload = std::move(other185.payload);
   return *this;
 }
 void caller_packet::printTo(std::ostream& out) const {
@@ -1523,22 +1873,22 @@
   swap(a.payload, b.payload);
 }
 
-return_packet::return_packet(const return_packet& other130) {
-  key = other130.key;
-  payload = other130.payload;
+return_packet::return_packet(const return_packet& other186) {
+  key = other186.key;
+  payload = other186.payload;
 }
-return_packet::return_packet(return_packet&& other131) noexcept {
-  key = std::move(other131.key);
-  payload = std::move(other131.payload);
+return_packet::return_packet(return_packet&& other187) noexcept {
+  key = std::move(other187.key);
+  payload = std::move(other187.payload);
 }
-return_packet& return_packet::operator=(const return_packet& other132) {
-  key = other132.key;
-  payload = other132.payload;
+return_packet& return_packet::operator=(const return_packet& other188) {
+  key = other188.key;
+  payload = other188.payload;
   return *this;
 }
-return_packet& return_packet::operator=(return_packet&& other133) noexcept {
-  key = std::move(other133.key);
-  payload = std::move(other133.payload);
+return_packet& return_packet::operator=(return_packet&& other189) noexcept {
+  key = std::move(other189.key);
+  payload = std::move(other189.payload);
   return *this;
 }
 void return_packet::printTo(std::ostream& out) const {
@@ -1599,42 +1949,42 @@
   swap(a.payload, b.payload);
 }
 
-forwarded_packet::forwarded_packet(const forwarded_packet& other134) {
-  key = other134.key;
-  service_id = other134.service_id;
-  revision = other134.revision;
-  incarnation = other134.incarnation;
-  hops = other134.hops;
-  balancer = other134.balancer;
-  payload = other134.payload;
-}
-forwarded_packet::forwarded_packet(forwarded_packet&& other135) noexcept {
-  key = std::move(other135.key);
-  service_id = other135.service_id;
-  revision = other135.revision;
-  incarnation = other135.incarnation;
-  hops = other135.hops;
-  balancer = std::move(other135.balancer);
-  payload = std::move(other135.payload);
-}
-forwarded_packet& forwarded_packet::operator=(const forwarded_packet& other136) {
-  key = other136.key;
-  service_id = other136.service_id;
-  revision = other136.revision;
-  incarnation = other136.incarnation;
-  hops = other136.hops;
-  balancer = other136.balancer;
-  payload = other136.payload;
-  return *this;
-}
-forwarded_packet& forwarded_packet::operator=(forwarded_packet&& other137) noexcept {
-  key = std::move(other137.key);
-  service_id = other137.service_id;
-  revision = other137.revision;
-  incarnation = other137.incarnation;
-  hops = other137.hops;
-  balancer = std::move(other137.balancer);
-  payload = std::move(other137.payload);
+forwarded_packet::forwarded_packet(const forwarded_packet& other190) {
+  key = other190.key;
+  service_id = other190.service_id;
+  revision = other190.revision;
+  incarnation = other190.incarnation;
+  hops = other190.hops;
+  balancer = other190.balancer;
+  payload = other190.payload;
+}
+forwarded_packet::forwarded_packet(forwarded_packet&& other191) noexcept {
+  key = std::move(other191.key);
+  service_id = other191.service_id;
+  revision = other191.revision;
+  incarnation = other191.incarnation;
+  hops = other191.hops;
+  balancer = std::move(other191.balancer);
+  payload = std::move(other191.payload);
+}
+forwarded_packet& forwarded_packet::operator=(const forwarded_packet& other192) {
+  key = other192.key;
+  service_id = other192.service_id;
+  revision = other192.revision;
+  incarnation = other192.incarnation;
+  hops = other192.hops;
+  balancer = other192.balancer;
+  payload = other192.payload;
+  return *this;
+}
+forwarded_packet& forwarded_packet::operator=(forwarded_packet&& other193) noexcept {
+  key = std::move(other193.key);
+  service_id = other193.service_id;
+  revision = other193.revision;
+  incarnation = other193.incarnation;
+  hops = other193.hops;
+  balancer = std::move(other193.balancer);
+  payload = std::move(other193.payload);
   return *this;
 }
 void forwarded_packet::printTo(std::ostream& out) const {
@@ -1670,18 +2020,18 @@
   swap(a.revision, b.revision);
 }
 
-stale_notice::stale_notice(const stale_notice& other138) noexcept {
-  revision = other138.revision;
+stale_notice::stale_notice(const stale_notice& other194) noexcept {
+  revision = other194.revision;
 }
-stale_notice::stale_notice(stale_notice&& other139) noexcept {
-  revision = other139.revision;
+stale_notice::stale_notice(stale_notice&& other195) noexcept {
+  revision = other195.revision;
 }
-stale_notice& stale_notice::operator=(const stale_notice& other140) noexcept {
-  revision = other140.revision;
+stale_notice& stale_notice::operator=(const stale_notice& other196) noexcept {
+  revision = other196.revision;
   return *this;
 }
-stale_notice& stale_notice::operator=(stale_notice&& other141) noexcept {
-  revision = other141.revision;
+stale_notice& stale_notice::operator=(stale_notice&& other197) noexcept {
+  revision = other197.revision;
   return *this;
 }
 void stale_notice::printTo(std::ostream& out) const {
@@ -1736,38 +2086,38 @@
   swap(a.query_id, b.query_id);
 }
 
-bucket_query::bucket_query(const bucket_query& other142) {
-  service_id = other142.service_id;
-  revision = other142.revision;
-  owner = other142.owner;
-  reply_to = other142.reply_to;
-  buckets = other142.buckets;
-  query_id = other142.query_id;
-}
-bucket_query::bucket_query(bucket_query&& other143) noexcept {
-  service_id = other143.service_id;
-  revision = other143.revision;
-  owner = other143.owner;
-  reply_to = std::move(other143.reply_to);
-  buckets = std::move(other143.buckets);
-  query_id = other143.query_id;
-}
-bucket_query& bucket_query::operator=(const bucket_query& other144) {
-  service_id = other144.service_id;
-  revision = other144.revision;
-  owner = other144.owner;
-  reply_to = other144.reply_to;
-  buckets = other144.buckets;
-  query_id = other144.query_id;
-  return *this;
-}
-bucket_query& bucket_query::operator=(bucket_query&& other145) noexcept {
-  service_id = other145.service_id;
-  revision = other145.revision;
-  owner = other145.owner;
-  reply_to = std::move(other145.reply_to);
-  buckets = std::move(other145.buckets);
-  query_id = other145.query_id;
+bucket_query::bucket_query(const bucket_query& other198) {
+  service_id = other198.service_id;
+  revision = other198.revision;
+  owner = other198.owner;
+  reply_to = other198.reply_to;
+  buckets = other198.buckets;
+  query_id = other198.query_id;
+}
+bucket_query::bucket_query(bucket_query&& other199) noexcept {
+  service_id = other199.service_id;
+  revision = other199.revision;
+  owner = other199.owner;
+  reply_to = std::move(other199.reply_to);
+  buckets = std::move(other199.buckets);
+  query_id = other199.query_id;
+}
+bucket_query& bucket_query::operator=(const bucket_query& other200) {
+  service_id = other200.service_id;
+  revision = other200.revision;
+  owner = other200.owner;
+  reply_to = other200.reply_to;
+  buckets = other200.buckets;
+  query_id = other200.query_id;
+  return *this;
+}
+bucket_query& bucket_query::operator=(bucket_query&& other201) noexcept {
+  service_id = other201.service_id;
+  revision = other201.revision;
+  owner = other201.owner;
+  reply_to = std::move(other201.reply_to);
+  buckets = std::move(other201.buckets);
+  query_id = other201.query_id;
   return *this;
 }
 void bucket_query::printTo(std::ostream& out) const {
@@ -1837,46 +2187,46 @@
   swap(a.load_permille, b.load_permille);
 }
 
-bucket_report::bucket_report(const bucket_report& other152) {
-  service_id = other152.service_id;
-  revision = other152.revision;
-  holder = other152.holder;
-  query_id = other152.query_id;
-  page = other152.page;
-  pages = other152.pages;
-  flows = other152.flows;
-  load_permille = other152.load_permille;
-}
-bucket_report::bucket_report(bucket_report&& other153) noexcept {
-  service_id = other153.service_id;
-  revision = other153.revision;
-  holder = other153.holder;
-  query_id = other153.query_id;
-  page = other153.page;
-  pages = other153.pages;
-  flows = std::move(other153.flows);
-  load_permille = other153.load_permille;
-}
-bucket_report& bucket_report::operator=(const bucket_report& other154) {
-  service_id = other154.service_id;
-  revision = other154.revision;
-  holder = other154.holder;
-  query_id = other154.query_id;
-  page = other154.page;
-  pages = other154.pages;
-  flows = other154.flows;
-  load_permille = other154.load_permille;
-  return *this;
-}
-bucket_report& bucket_report::operator=(bucket_report&& other155) noexcept {
-  service_id = other155.service_id;
-  revision = other155.revision;
-  holder = other155.holder;
-  query_id = other155.query_id;
-  page = other155.page;
-  pages = other155.pages;
-  flows = std::move(other155.flows);
-  load_permille = other155.load_permille;
+bucket_report::bucket_report(const bucket_report& other208) {
+  service_id = other208.service_id;
+  revision = other208.revision;
+  holder = other208.holder;
+  query_id = other208.query_id;
+  page = other208.page;
+  pages = other208.pages;
+  flows = other208.flows;
+  load_permille = other208.load_permille;
+}
+bucket_report::bucket_report(bucket_report&& other209) noexcept {
+  service_id = other209.service_id;
+  revision = other209.revision;
+  holder = other209.holder;
+  query_id = other209.query_id;
+  page = other209.page;
+  pages = other209.pages;
+  flows = std::move(other209.flows);
+  load_permille = other209.load_permille;
+}
+bucket_report& bucket_report::operator=(const bucket_report& other210) {
+  service_id = other210.service_id;
+  revision = other210.revision;
+  holder = other210.holder;
+  query_id = other210.query_id;
+  page = other210.page;
+  pages = other210.pages;
+  flows = other210.flows;
+  load_permille = other210.load_permille;
+  return *this;
+}
+bucket_report& bucket_report::operator=(bucket_report&& other211) noexcept {
+  service_id = other211.service_id;
+  revision = other211.revision;
+  holder = other211.holder;
+  query_id = other211.query_id;
+  page = other211.page;
+  pages = other211.pages;
+  flows = std::move(other211.flows);
+  load_permille = other211.load_permille;
   return *this;
 }
 void bucket_report::printTo(std::ostream& out) const {
@@ -1960,58 +2310,58 @@
   swap(a.__isset, b.__isset);
 }
 
-place_offer::place_offer(const place_offer& other156) {
-  key = other156.key;
-  service_id = other156.service_id;
-  revision = other156.revision;
-  owner = other156.owner;
-  reply_to = other156.reply_to;
-  holder = other156.holder;
-  load_permille = other156.load_permille;
-  payload = other156.payload;
-  balancer = other156.balancer;
-  offer_id = other156.offer_id;
-  __isset = other156.__isset;
-}
-place_offer::place_offer(place_offer&& other157) noexcept {
-  key = std::move(other157.key);
-  service_id = other157.service_id;
-  revision = other157.revision;
-  owner = other157.owner;
-  reply_to = std::move(other157.reply_to);
-  holder = other157.holder;
-  load_permille = other157.load_permille;
-  payload = std::move(other157.payload);
-  balancer = std::move(other157.balancer);
-  offer_id = other157.offer_id;
-  __isset = other157.__isset;
-}
-place_offer& place_offer::operator=(const place_offer& other158) {
-  key = other158.key;
-  service_id = other158.service_id;
-  revision = other158.revision;
-  owner = other158.owner;
-  reply_to = other158.reply_to;
-  holder = other158.holder;
-  load_permille = other158.load_permille;
-  payload = other158.payload;
-  balancer = other158.balancer;
-  offer_id = other158.offer_id;
-  __isset = other158.__isset;
-  return *this;
-}
-place_offer& place_offer::operator=(place_offer&& other159) noexcept {
-  key = std::move(other159.key);
-  service_id = other159.service_id;
-  revision = other159.revision;
-  owner = other159.owner;
-  reply_to = std::move(other159.reply_to);
-  holder = other159.holder;
-  load_permille = other159.load_permille;
-  payload = std::move(other159.payload);
-  balancer = std::move(other159.balancer);
-  offer_id = other159.offer_id;
-  __isset = other159.__isset;
+place_offer::place_offer(const place_offer& other212) {
+  key = other212.key;
+  service_id = other212.service_id;
+  revision = other212.revision;
+  owner = other212.owner;
+  reply_to = other212.reply_to;
+  holder = other212.holder;
+  load_permille = other212.load_permille;
+  payload = other212.payload;
+  balancer = other212.balancer;
+  offer_id = other212.offer_id;
+  __isset = other212.__isset;
+}
+place_offer::place_offer(place_offer&& other213) noexcept {
+  key = std::move(other213.key);
+  service_id = other213.service_id;
+  revision = other213.revision;
+  owner = other213.owner;
+  reply_to = std::move(other213.reply_to);
+  holder = other213.holder;
+  load_permille = other213.load_permille;
+  payload = std::move(other213.payload);
+  balancer = std::move(other213.balancer);
+  offer_id = other213.offer_id;
+  __isset = other213.__isset;
+}
+place_offer& place_offer::operator=(const place_offer& other214) {
+  key = other214.key;
+  service_id = other214.service_id;
+  revision = other214.revision;
+  owner = other214.owner;
+  reply_to = other214.reply_to;
+  holder = other214.holder;
+  load_permille = other214.load_permille;
+  payload = other214.payload;
+  balancer = other214.balancer;
+  offer_id = other214.offer_id;
+  __isset = other214.__isset;
+  return *this;
+}
+place_offer& place_offer::operator=(place_offer&& other215) noexcept {
+  key = std::move(other215.key);
+  service_id = other215.service_id;
+  revision = other215.revision;
+  owner = other215.owner;
+  reply_to = std::move(other215.reply_to);
+  holder = other215.holder;
+  load_permille = other215.load_permille;
+  payload = std::move(other215.payload);
+  balancer = std::move(other215.balancer);
+  offer_id = other215.offer_id;
+  __isset = other215.__isset;
   return *this;
 }
 void place_offer::printTo(std::ostream& out) const {
@@ -2082,46 +2432,46 @@
   swap(a.__isset, b.__isset);
 }
 
-place_reply::place_reply(const place_reply& other160) noexcept {
-  key = other160.key;
-  service_id = other160.service_id;
-  holder = other160.holder;
-  accepted = other160.accepted;
-  reason = other160.reason;
-  load_permille = other160.load_permille;
-  offer_id = other160.offer_id;
-  __isset = other160.__isset;
-}
-place_reply::place_reply(place_reply&& other161) noexcept {
-  key = std::move(other161.key);
-  service_id = other161.service_id;
-  holder = other161.holder;
-  accepted = other161.accepted;
-  reason = other161.reason;
-  load_permille = other161.load_permille;
-  offer_id = other161.offer_id;
-  __isset = other161.__isset;
-}
-place_reply& place_reply::operator=(const place_reply& other162) noexcept {
-  key = other162.key;
-  service_id = other162.service_id;
-  holder = other162.holder;
-  accepted = other162.accepted;
-  reason = other162.reason;
-  load_permille = other162.load_permille;
-  offer_id = other162.offer_id;
-  __isset = other162.__isset;
-  return *this;
-}
-place_reply& place_reply::operator=(place_reply&& other163) noexcept {
-  key = std::move(other163.key);
-  service_id = other163.service_id;
-  holder = other163.holder;
-  accepted = other163.accepted;
-  reason = other163.reason;
-  load_permille = other163.load_permille;
-  offer_id = other163.offer_id;
-  __isset = other163.__isset;
+place_reply::place_reply(const place_reply& other216) noexcept {
+  key = other216.key;
+  service_id = other216.service_id;
+  holder = other216.holder;
+  accepted = other216.accepted;
+  reason = other216.reason;
+  load_permille = other216.load_permille;
+  offer_id = other216.offer_id;
+  __isset = other216.__isset;
+}
+place_reply::place_reply(place_reply&& other217) noexcept {
+  key = std::move(other217.key);
+  service_id = other217.service_id;
+  holder = other217.holder;
+  accepted = other217.accepted;
+  reason = other217.reason;
+  load_permille = other217.load_permille;
+  offer_id = other217.offer_id;
+  __isset = other217.__isset;
+}
+place_reply& place_reply::operator=(const place_reply& other218) noexcept {
+  key = other218.key;
+  service_id = other218.service_id;
+  holder = other218.holder;
+  accepted = other218.accepted;
+  reason = other218.reason;
+  load_permille = other218.load_permille;
+  offer_id = other218.offer_id;
+  __isset = other218.__isset;
+  return *this;
+}
+place_reply& place_reply::operator=(place_reply&& other219) noexcept {
+  key = std::move(other219.key);
+  service_id = other219.service_id;
+  holder = other219.holder;
+  accepted = other219.accepted;
+  reason = other219.reason;
+  load_permille = other219.load_permille;
+  offer_id = other219.offer_id;
+  __isset = other219.__isset;
   return *this;
 }
 void place_reply::printTo(std::ostream& out) const {
@@ -2167,26 +2517,26 @@
   swap(a.holder, b.holder);
 }
 
-flow_closed::flow_closed(const flow_closed& other164) noexcept {
-  key = other164.key;
-  service_id = other164.service_id;
-  holder = other164.holder;
+flow_closed::flow_closed(const flow_closed& other220) noexcept {
+  key = other220.key;
+  service_id = other220.service_id;
+  holder = other220.holder;
 }
-flow_closed::flow_closed(flow_closed&& other165) noexcept {
-  key = std::move(other165.key);
-  service_id = other165.service_id;
-  holder = other165.holder;
+flow_closed::flow_closed(flow_closed&& other221) noexcept {
+  key = std::move(other221.key);
+  service_id = other221.service_id;
+  holder = other221.holder;
 }
-flow_closed& flow_closed::operator=(const flow_closed& other166) noexcept {
-  key = other166.key;
-  service_id = other166.service_id;
-  holder = other166.holder;
+flow_closed& flow_closed::operator=(const flow_closed& other222) noexcept {
+  key = other222.key;
+  service_id = other222.service_id;
+  holder = other222.holder;
   return *this;
 }
-flow_closed& flow_closed::operator=(flow_closed&& other167) noexcept {
-  key = std::move(other167.key);
-  service_id = other167.service_id;
-  holder = other167.holder;
+flow_closed& flow_closed::operator=(flow_closed&& other223) noexcept {
+  key = std::move(other223.key);
+  service_id = other223.service_id;
+  holder = other223.holder;
   return *this;
 }
 void flow_closed::printTo(std::ostream& out) const {
@@ -2228,26 +2578,26 @@
   swap(a.load_permille, b.load_permille);
 }
 
-load_report::load_report(const load_report& other168) noexcept {
-  service_id = other168.service_id;
-  holder = other168.holder;
-  load_permille = other168.load_permille;
+load_report::load_report(const load_report& other224) noexcept {
+  service_id = other224.service_id;
+  holder = other224.holder;
+  load_permille = other224.load_permille;
 }
-load_report::load_report(load_report&& other169) noexcept {
-  service_id = other169.service_id;
-  holder = other169.holder;
-  load_permille = other169.load_permille;
+load_report::load_report(load_report&& other225) noexcept {
+  service_id = other225.service_id;
+  holder = other225.holder;
+  load_permille = other225.load_permille;
 }
-load_report& load_report::operator=(const load_report& other170) noexcept {
-  service_id = other170.service_id;
-  holder = other170.holder;
-  load_permille = other170.load_permille;
+load_report& load_report::operator=(const load_report& other226) noexcept {
+  service_id = other226.service_id;
+  holder = other226.holder;
+  load_permille = other226.load_permille;
   return *this;
 }
-load_report& load_report::operator=(load_report&& other171) noexcept {
-  service_id = other171.service_id;
-  holder = other171.holder;
-  load_permille = other171.load_permille;
+load_report& load_report::operator=(load_report&& other227) noexcept {
+  service_id = other227.service_id;
+  holder = other227.holder;
+  load_permille = other227.load_permille;
   return *this;
 }
 void load_report::printTo(std::ostream& out) const {
@@ -2289,26 +2639,26 @@
   swap(a.holder, b.holder);
 }
 
-flow_unknown::flow_unknown(const flow_unknown& other172) noexcept {
-  key = other172.key;
-  service_id = other172.service_id;
-  holder = other172.holder;
+flow_unknown::flow_unknown(const flow_unknown& other228) noexcept {
+  key = other228.key;
+  service_id = other228.service_id;
+  holder = other228.holder;
 }
-flow_unknown::flow_unknown(flow_unknown&& other173) noexcept {
-  key = std::move(other173.key);
-  service_id = other173.service_id;
-  holder = other173.holder;
+flow_unknown::flow_unknown(flow_unknown&& other229) noexcept {
+  key = std::move(other229.key);
+  service_id = other229.service_id;
+  holder = other229.holder;
 }
-flow_unknown& flow_unknown::operator=(const flow_unknown& other174) noexcept {
-  key = other174.key;
-  service_id = other174.service_id;
-  holder = other174.holder;
+flow_unknown& flow_unknown::operator=(const flow_unknown& other230) noexcept {
+  key = other230.key;
+  service_id = other230.service_id;
+  holder = other230.holder;
   return *this;
 }
-flow_unknown& flow_unknown::operator=(flow_unknown&& other175) noexcept {
-  key = std::move(other175.key);
-  service_id = other175.service_id;
-  holder = other175.holder;
+flow_unknown& flow_unknown::operator=(flow_unknown&& other231) noexcept {
+  key = std::move(other231.key);
+  service_id = other231.service_id;
+  holder = other231.holder;
   return *this;
 }
 void flow_unknown::printTo(std::ostream& out) const {
@@ -2321,6 +2671,237 @@
 }
 
 
+segment_forward::~segment_forward() noexcept {
+}
+
+
+void segment_forward::__set_packet(const std::string& val) {
+  this->packet = val;
+}
+
+void segment_forward::__set_service_key(const int64_t val) {
+  this->service_key = val;
+}
+
+void segment_forward::__set_purpose(const int8_t val) {
+  this->purpose = val;
+}
+std::ostream& operator<<(std::ostream& out, const segment_forward& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(segment_forward &a, segment_forward &b) {
+  using ::std::swap;
+  swap(a.packet, b.packet);
+  swap(a.service_key, b.service_key);
+  swap(a.purpose, b.purpose);
+}
+
+segment_forward::segment_forward(const segment_forward& other232) {
+  packet = other232.packet;
+  service_key = other232.service_key;
+  purpose = other232.purpose;
+}
+segment_forward::segment_forward(segment_forward&& other233) noexcept {
+  packet = std::move(other233.packet);
+  service_key = other233.service_key;
+  purpose = other233.purpose;
+}
+segment_forward& segment_forward::operator=(const segment_forward& other234) {
+  packet = other234.packet;
+  service_key = other234.service_key;
+  purpose = other234.purpose;
+  return *this;
+}
+segment_forward& segment_forward::operator=(segment_forward&& other235) noexcept {
+  packet = std::move(other235.packet);
+  service_key = other235.service_key;
+  purpose = other235.purpose;
+  return *this;
+}
+void segment_forward::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "segment_forward(";
+  out << "packet=" << to_string(packet);
+  out << ", " << "service_key=" << to_string(service_key);
+  out << ", " << "purpose=" << to_string(purpose);
+  out << ")";
+}
+
+
+segment_report::~segment_report() noexcept {
+}
+
+
+void segment_report::__set_key(const flow_key& val) {
+  this->key = val;
+}
+
+void segment_report::__set_service_key(const int64_t val) {
+  this->service_key = val;
+}
+
+void segment_report::__set_outcome(const int8_t val) {
+  this->outcome = val;
+}
+
+void segment_report::__set_load_permille(const int32_t val) {
+  this->load_permille = val;
+}
+
+void segment_report::__set_sequence(const int32_t val) {
+  this->sequence = val;
+__isset.sequence = true;
+}
+
+void segment_report::__set_reason(const int16_t val) {
+  this->reason = val;
+__isset.reason = true;
+}
+
+void segment_report::__set_packet(const std::string& val) {
+  this->packet = val;
+__isset.packet = true;
+}
+std::ostream& operator<<(std::ostream& out, const segment_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(segment_report &a, segment_report &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.service_key, b.service_key);
+  swap(a.outcome, b.outcome);
+  swap(a.load_permille, b.load_permille);
+  swap(a.sequence, b.sequence);
+  swap(a.reason, b.reason);
+  swap(a.packet, b.packet);
+  swap(a.__isset, b.__isset);
+}
+
+segment_report::segment_report(const segment_report& other236) {
+  key = other236.key;
+  service_key = other236.service_key;
+  outcome = other236.outcome;
+  load_permille = other236.load_permille;
+  sequence = other236.sequence;
+  reason = other236.reason;
+  packet = other236.packet;
+  __isset = other236.__isset;
+}
+segment_report::segment_report(segment_report&& other237) noexcept {
+  key = std::move(other237.key);
+  service_key = other237.service_key;
+  outcome = other237.outcome;
+  load_permille = other237.load_permille;
+  sequence = other237.sequence;
+  reason = other237.reason;
+  packet = std::move(other237.packet);
+  __isset = other237.__isset;
+}
+segment_report& segment_report::operator=(const segment_report& other238) {
+  key = other238.key;
+  service_key = other238.service_key;
+  outcome = other238.outcome;
+  load_permille = other238.load_permille;
+  sequence = other238.sequence;
+  reason = other238.reason;
+  packet = other238.packet;
+  __isset = other238.__isset;
+  return *this;
+}
+segment_report& segment_report::operator=(segment_report&& other239) noexcept {
+  key = std::move(other239.key);
+  service_key = other239.service_key;
+  outcome = other239.outcome;
+  load_permille = other239.load_permille;
+  sequence = other239.sequence;
+  reason = other239.reason;
+  packet = std::move(other239.packet);
+  __isset = other239.__isset;
+  return *this;
+}
+void segment_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "segment_report(";
+  out << "key=" << to_string(key);
+  out << ", " << "service_key=" << to_string(service_key);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "load_permille=" << to_string(load_permille);
+  out << ", " << "sequence="; (__isset.sequence ? (out << to_string(sequence)) : (out << "<null>"));
+  out << ", " << "reason="; (__isset.reason ? (out << to_string(reason)) : (out << "<null>"));
+  out << ", " << "packet="; (__isset.packet ? (out << to_string(packet)) : (out << "<null>"));
+  out << ")";
+}
+
+
+segment_load::~segment_load() noexcept {
+}
+
+
+void segment_load::__set_service_key(const int64_t val) {
+  this->service_key = val;
+}
+
+void segment_load::__set_load_permille(const int32_t val) {
+  this->load_permille = val;
+}
+
+void segment_load::__set_accepting(const bool val) {
+  this->accepting = val;
+}
+std::ostream& operator<<(std::ostream& out, const segment_load& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(segment_load &a, segment_load &b) {
+  using ::std::swap;
+  swap(a.service_key, b.service_key);
+  swap(a.load_permille, b.load_permille);
+  swap(a.accepting, b.accepting);
+}
+
+segment_load::segment_load(const segment_load& other240) noexcept {
+  service_key = other240.service_key;
+  load_permille = other240.load_permille;
+  accepting = other240.accepting;
+}
+segment_load::segment_load(segment_load&& other241) noexcept {
+  service_key = other241.service_key;
+  load_permille = other241.load_permille;
+  accepting = other241.accepting;
+}
+segment_load& segment_load::operator=(const segment_load& other242) noexcept {
+  service_key = other242.service_key;
+  load_permille = other242.load_permille;
+  accepting = other242.accepting;
+  return *this;
+}
+segment_load& segment_load::operator=(segment_load&& other243) noexcept {
+  service_key = other243.service_key;
+  load_permille = other243.load_permille;
+  accepting = other243.accepting;
+  return *this;
+}
+void segment_load::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "segment_load(";
+  out << "service_key=" << to_string(service_key);
+  out << ", " << "load_permille=" << to_string(load_permille);
+  out << ", " << "accepting=" << to_string(accepting);
+  out << ")";
+}
+
+
 vote_request::~vote_request() noexcept {
 }
 
@@ -2360,34 +2941,34 @@
   swap(a.last_term, b.last_term);
 }
 
-vote_request::vote_request(const vote_request& other176) noexcept {
-  pre_vote = other176.pre_vote;
-  term = other176.term;
-  candidate = other176.candidate;
-  last_index = other176.last_index;
-  last_term = other176.last_term;
-}
-vote_request::vote_request(vote_request&& other177) noexcept {
-  pre_vote = other177.pre_vote;
-  term = other177.term;
-  candidate = other177.candidate;
-  last_index = other177.last_index;
-  last_term = other177.last_term;
-}
-vote_request& vote_request::operator=(const vote_request& other178) noexcept {
-  pre_vote = other178.pre_vote;
-  term = other178.term;
-  candidate = other178.candidate;
-  last_index = other178.last_index;
-  last_term = other178.last_term;
+vote_request::vote_request(const vote_request& other244) noexcept {
+  pre_vote = other244.pre_vote;
+  term = other244.term;
+  candidate = other244.candidate;
+  last_index = other244.last_index;
+  last_term = other244.last_term;
+}
+vote_request::vote_request(vote_request&& other245) noexcept {
+  pre_vote = other245.pre_vote;
+  term = other245.term;
+  candidate = other245.candidate;
+  last_index = other245.last_index;
+  last_term = other245.last_term;
+}
+vote_request& vote_request::operator=(const vote_request& other246) noexcept {
+  pre_vote = other246.pre_vote;
+  term = other246.term;
+  candidate = other246.candidate;
+  last_index = other246.last_index;
+  last_term = other246.last_term;
   return *this;
 }
-vote_request& vote_request::operator=(vote_request&& other179) noexcept {
-  pre_vote = other179.pre_vote;
-  term = other179.term;
-  candidate = other179.candidate;
-  last_index = other179.last_index;
-  last_term = other179.last_term;
+vote_request& vote_request::operator=(vote_request&& other247) noexcept {
+  pre_vote = other247.pre_vote;
+  term = other247.term;
+  candidate = other247.candidate;
+  last_index = other247.last_index;
+  last_term = other247.last_term;
   return *this;
 }
 void vote_request::printTo(std::ostream& out) const {
@@ -2441,34 +3022,34 @@
   swap(a.candidate, b.candidate);
 }
 
-vote_reply::vote_reply(const vote_reply& other180) noexcept {
-  pre_vote = other180.pre_vote;
-  term = other180.term;
-  voter = other180.voter;
-  granted = other180.granted;
-  candidate = other180.candidate;
-}
-vote_reply::vote_reply(vote_reply&& other181) noexcept {
-  pre_vote = other181.pre_vote;
-  term = other181.term;
-  voter = other181.voter;
-  granted = other181.granted;
-  candidate = other181.candidate;
-}
-vote_reply& vote_reply::operator=(const vote_reply& other182) noexcept {
-  pre_vote = other182.pre_vote;
-  term = other182.term;
-  voter = other182.voter;
-  granted = other182.granted;
-  candidate = other182.candidate;
+vote_reply::vote_reply(const vote_reply& other248) noexcept {
+  pre_vote = other248.pre_vote;
+  term = other248.term;
+  voter = other248.voter;
+  granted = other248.granted;
+  candidate = other248.candidate;
+}
+vote_reply::vote_reply(vote_reply&& other249) noexcept {
+  pre_vote = other249.pre_vote;
+  term = other249.term;
+  voter = other249.voter;
+  granted = other249.granted;
+  candidate = other249.candidate;
+}
+vote_reply& vote_reply::operator=(const vote_reply& other250) noexcept {
+  pre_vote = other250.pre_vote;
+  term = other250.term;
+  voter = other250.voter;
+  granted = other250.granted;
+  candidate = other250.candidate;
   return *this;
 }
-vote_reply& vote_reply::operator=(vote_reply&& other183) noexcept {
-  pre_vote = other183.pre_vote;
-  term = other183.term;
-  voter = other183.voter;
-  granted = other183.granted;
-  candidate = other183.candidate;
+vote_reply& vote_reply::operator=(vote_reply&& other251) noexcept {
+  pre_vote = other251.pre_vote;
+  term = other251.term;
+  voter = other251.voter;
+  granted = other251.granted;
+  candidate = other251.candidate;
   return *this;
 }
 void vote_reply::printTo(std::ostream& out) const {
@@ -2537,46 +3118,46 @@
   swap(a.quorum_age_ms, b.quorum_age_ms);
 }
 
-append_request::append_request(const append_request& other190) {
-  term = other190.term;
-  leader = other190.leader;
-  previous_index = other190.previous_index;
-  previous_term = other190.previous_term;
-  commit = other190.commit;
-  round = other190.round;
-  entries = other190.entries;
-  quorum_age_ms = other190.quorum_age_ms;
-}
-append_request::append_request(append_request&& other191) noexcept {
-  term = other191.term;
-  leader = other191.leader;
-  previous_index = other191.previous_index;
-  previous_term = other191.previous_term;
-  commit = other191.commit;
-  round = other191.round;
-  entries = std::move(other191.entries);
-  quorum_age_ms = other191.quorum_age_ms;
-}
-append_request& append_request::operator=(const append_request& other192) {
-  term = other192.term;
-  leader = other192.leader;
-  previous_index = other192.previous_index;
-  previous_term = other192.previous_term;
-  commit = other192.commit;
-  round = other192.round;
-  entries = other192.entries;
-  quorum_age_ms = other192.quorum_age_ms;
-  return *this;
-}
-append_request& append_request::operator=(append_request&& other193) noexcept {
-  term = other193.term;
-  leader = other193.leader;
-  previous_index = other193.previous_index;
-  previous_term = other193.previous_term;
-  commit = other193.commit;
-  round = other193.round;
-  entries = std::move(other193.entries);
-  quorum_age_ms = other193.quorum_age_ms;
+append_request::append_request(const append_request& other258) {
+  term = other258.term;
+  leader = other258.leader;
+  previous_index = other258.previous_index;
+  previous_term = other258.previous_term;
+  commit = other258.commit;
+  round = other258.round;
+  entries = other258.entries;
+  quorum_age_ms = other258.quorum_age_ms;
+}
+append_request::append_request(append_request&& other259) noexcept {
+  term = other259.term;
+  leader = other259.leader;
+  previous_index = other259.previous_index;
+  previous_term = other259.previous_term;
+  commit = other259.commit;
+  round = other259.round;
+  entries = std::move(other259.entries);
+  quorum_age_ms = other259.quorum_age_ms;
+}
+append_request& append_request::operator=(const append_request& other260) {
+  term = other260.term;
+  leader = other260.leader;
+  previous_index = other260.previous_index;
+  previous_term = other260.previous_term;
+  commit = other260.commit;
+  round = other260.round;
+  entries = other260.entries;
+  quorum_age_ms = other260.quorum_age_ms;
+  return *this;
+}
+append_request& append_request::operator=(append_request&& other261) noexcept {
+  term = other261.term;
+  leader = other261.leader;
+  previous_index = other261.previous_index;
+  previous_term = other261.previous_term;
+  commit = other261.commit;
+  round = other261.round;
+  entries = std::move(other261.entries);
+  quorum_age_ms = other261.quorum_age_ms;
   return *this;
 }
 void append_request::printTo(std::ostream& out) const {
@@ -2633,34 +3214,34 @@
   swap(a.round, b.round);
 }
 
-append_reply::append_reply(const append_reply& other194) noexcept {
-  term = other194.term;
-  follower = other194.follower;
-  success = other194.success;
-  match = other194.match;
-  round = other194.round;
-}
-append_reply::append_reply(append_reply&& other195) noexcept {
-  term = other195.term;
-  follower = other195.follower;
-  success = other195.success;
-  match = other195.match;
-  round = other195.round;
-}
-append_reply& append_reply::operator=(const append_reply& other196) noexcept {
-  term = other196.term;
-  follower = other196.follower;
-  success = other196.success;
-  match = other196.match;
-  round = other196.round;
+append_reply::append_reply(const append_reply& other262) noexcept {
+  term = other262.term;
+  follower = other262.follower;
+  success = other262.success;
+  match = other262.match;
+  round = other262.round;
+}
+append_reply::append_reply(append_reply&& other263) noexcept {
+  term = other263.term;
+  follower = other263.follower;
+  success = other263.success;
+  match = other263.match;
+  round = other263.round;
+}
+append_reply& append_reply::operator=(const append_reply& other264) noexcept {
+  term = other264.term;
+  follower = other264.follower;
+  success = other264.success;
+  match = other264.match;
+  round = other264.round;
   return *this;
 }
-append_reply& append_reply::operator=(append_reply&& other197) noexcept {
-  term = other197.term;
-  follower = other197.follower;
-  success = other197.success;
-  match = other197.match;
-  round = other197.round;
+append_reply& append_reply::operator=(append_reply&& other265) noexcept {
+  term = other265.term;
+  follower = other265.follower;
+  success = other265.success;
+  match = other265.match;
+  round = other265.round;
   return *this;
 }
 void append_reply::printTo(std::ostream& out) const {
@@ -2734,50 +3315,50 @@
   swap(a.members, b.members);
 }
 
-snapshot_chunk::snapshot_chunk(const snapshot_chunk& other198) {
-  term = other198.term;
-  leader = other198.leader;
-  last_index = other198.last_index;
-  last_term = other198.last_term;
-  offset = other198.offset;
-  total = other198.total;
-  data = other198.data;
-  round = other198.round;
-  members = other198.members;
-}
-snapshot_chunk::snapshot_chunk(snapshot_chunk&& other199) noexcept {
-  term = other199.term;
-  leader = other199.leader;
-  last_index = other199.last_index;
-  last_term = other199.last_term;
-  offset = other199.offset;
-  total = other199.total;
-  data = std::move(other199.data);
-  round = other199.round;
-  members = std::move(other199.members);
-}
-snapshot_chunk& snapshot_chunk::operator=(const snapshot_chunk& other200) {
-  term = other200.term;
-  leader = other200.leader;
-  last_index = other200.last_index;
-  last_term = other200.last_term;
-  offset = other200.offset;
-  total = other200.total;
-  data = other200.data;
-  round = other200.round;
-  members = other200.members;
-  return *this;
-}
-snapshot_chunk& snapshot_chunk::operator=(snapshot_chunk&& other201) noexcept {
-  term = other201.term;
-  leader = other201.leader;
-  last_index = other201.last_index;
-  last_term = other201.last_term;
-  offset = other201.offset;
-  total = other201.total;
-  data = std::move(other201.data);
-  round = other201.round;
-  members = std::move(other201.members);
+snapshot_chunk::snapshot_chunk(const snapshot_chunk& other266) {
+  term = other266.term;
+  leader = other266.leader;
+  last_index = other266.last_index;
+  last_term = other266.last_term;
+  offset = other266.offset;
+  total = other266.total;
+  data = other266.data;
+  round = other266.round;
+  members = other266.members;
+}
+snapshot_chunk::snapshot_chunk(snapshot_chunk&& other267) noexcept {
+  term = other267.term;
+  leader = other267.leader;
+  last_index = other267.last_index;
+  last_term = other267.last_term;
+  offset = other267.offset;
+  total = other267.total;
+  data = std::move(other267.data);
+  round = other267.round;
+  members = std::move(other267.members);
+}
+snapshot_chunk& snapshot_chunk::operator=(const snapshot_chunk& other268) {
+  term = other268.term;
+  leader = other268.leader;
+  last_index = other268.last_index;
+  last_term = other268.last_term;
+  offset = other268.offset;
+  total = other268.total;
+  data = other268.data;
+  round = other268.round;
+  members = other268.members;
+  return *this;
+}
+snapshot_chunk& snapshot_chunk::operator=(snapshot_chunk&& other269) noexcept {
+  term = other269.term;
+  leader = other269.leader;
+  last_index = other269.last_index;
+  last_term = other269.last_term;
+  offset = other269.offset;
+  total = other269.total;
+  data = std::move(other269.data);
+  round = other269.round;
+  members = std::move(other269.members);
   return *this;
 }
 void snapshot_chunk::printTo(std::ostream& out) const {
@@ -2835,34 +3416,34 @@
   swap(a.round, b.round);
 }
 
-snapshot_reply::snapshot_reply(const snapshot_reply& other202) noexcept {
-  term = other202.term;
-  follower = other202.follower;
-  last_index = other202.last_index;
-  next_offset = other202.next_offset;
-  round = other202.round;
-}
-snapshot_reply::snapshot_reply(snapshot_reply&& other203) noexcept {
-  term = other203.term;
-  follower = other203.follower;
-  last_index = other203.last_index;
-  next_offset = other203.next_offset;
-  round = other203.round;
-}
-snapshot_reply& snapshot_reply::operator=(const snapshot_reply& other204) noexcept {
-  term = other204.term;
-  follower = other204.follower;
-  last_index = other204.last_index;
-  next_offset = other204.next_offset;
-  round = other204.round;
+snapshot_reply::snapshot_reply(const snapshot_reply& other270) noexcept {
+  term = other270.term;
+  follower = other270.follower;
+  last_index = other270.last_index;
+  next_offset = other270.next_offset;
+  round = other270.round;
+}
+snapshot_reply::snapshot_reply(snapshot_reply&& other271) noexcept {
+  term = other271.term;
+  follower = other271.follower;
+  last_index = other271.last_index;
+  next_offset = other271.next_offset;
+  round = other271.round;
+}
+snapshot_reply& snapshot_reply::operator=(const snapshot_reply& other272) noexcept {
+  term = other272.term;
+  follower = other272.follower;
+  last_index = other272.last_index;
+  next_offset = other272.next_offset;
+  round = other272.round;
   return *this;
 }
-snapshot_reply& snapshot_reply::operator=(snapshot_reply&& other205) noexcept {
-  term = other205.term;
-  follower = other205.follower;
-  last_index = other205.last_index;
-  next_offset = other205.next_offset;
-  round = other205.round;
+snapshot_reply& snapshot_reply::operator=(snapshot_reply&& other273) noexcept {
+  term = other273.term;
+  follower = other273.follower;
+  last_index = other273.last_index;
+  next_offset = other273.next_offset;
+  round = other273.round;
   return *this;
 }
 void snapshot_reply::printTo(std::ostream& out) const {
@@ -2901,22 +3482,22 @@
   swap(a.replaces, b.replaces);
 }
 
-join_request::join_request(const join_request& other206) {
-  candidate = other206.candidate;
-  replaces = other206.replaces;
+join_request::join_request(const join_request& other274) {
+  candidate = other274.candidate;
+  replaces = other274.replaces;
 }
-join_request::join_request(join_request&& other207) noexcept {
-  candidate = std::move(other207.candidate);
-  replaces = other207.replaces;
+join_request::join_request(join_request&& other275) noexcept {
+  candidate = std::move(other275.candidate);
+  replaces = other275.replaces;
 }
-join_request& join_request::operator=(const join_request& other208) {
-  candidate = other208.candidate;
-  replaces = other208.replaces;
+join_request& join_request::operator=(const join_request& other276) {
+  candidate = other276.candidate;
+  replaces = other276.replaces;
   return *this;
 }
-join_request& join_request::operator=(join_request&& other209) noexcept {
-  candidate = std::move(other209.candidate);
-  replaces = other209.replaces;
+join_request& join_request::operator=(join_request&& other277) noexcept {
+  candidate = std::move(other277.candidate);
+  replaces = other277.replaces;
   return *this;
 }
 void join_request::printTo(std::ostream& out) const {
@@ -2957,26 +3538,26 @@
   swap(a.id, b.id);
 }
 
-cursor::cursor(const cursor& other210) noexcept {
-  revision = other210.revision;
-  kind = other210.kind;
-  id = other210.id;
+cursor::cursor(const cursor& other278) noexcept {
+  revision = other278.revision;
+  kind = other278.kind;
+  id = other278.id;
 }
-cursor::cursor(cursor&& other211) noexcept {
-  revision = other211.revision;
-  kind = other211.kind;
-  id = other211.id;
+cursor::cursor(cursor&& other279) noexcept {
+  revision = other279.revision;
+  kind = other279.kind;
+  id = other279.id;
 }
-cursor& cursor::operator=(const cursor& other212) noexcept {
-  revision = other212.revision;
-  kind = other212.kind;
-  id = other212.id;
+cursor& cursor::operator=(const cursor& other280) noexcept {
+  revision = other280.revision;
+  kind = other280.kind;
+  id = other280.id;
   return *this;
 }
-cursor& cursor::operator=(cursor&& other213) noexcept {
-  revision = other213.revision;
-  kind = other213.kind;
-  id = other213.id;
+cursor& cursor::operator=(cursor&& other281) noexcept {
+  revision = other281.revision;
+  kind = other281.kind;
+  id = other281.id;
   return *this;
 }
 void cursor::printTo(std::ostream& out) const {
@@ -3016,6 +3597,11 @@
 void pull_request::__set_digest(const int64_t val) {
   this->digest = val;
 }
+
+void pull_request::__set_parents(const int64_t val) {
+  this->parents = val;
+__isset.parents = true;
+}
 std::ostream& operator<<(std::ostream& out, const pull_request& obj)
 {
   obj.printTo(out);
@@ -3031,40 +3617,50 @@
   swap(a.position, b.position);
   swap(a.full, b.full);
   swap(a.digest, b.digest);
+  swap(a.parents, b.parents);
+  swap(a.__isset, b.__isset);
 }
 
-pull_request::pull_request(const pull_request& other214) noexcept {
-  node = other214.node;
-  nonce = other214.nonce;
-  revision = other214.revision;
-  position = other214.position;
-  full = other214.full;
-  digest = other214.digest;
-}
-pull_request::pull_request(pull_request&& other215) noexcept {
-  node = other215.node;
-  nonce = other215.nonce;
-  revision = other215.revision;
-  position = std::move(other215.position);
-  full = other215.full;
-  digest = other215.digest;
-}
-pull_request& pull_request::operator=(const pull_request& other216) noexcept {
-  node = other216.node;
-  nonce = other216.nonce;
-  revision = other216.revision;
-  position = other216.position;
-  full = other216.full;
-  digest = other216.digest;
+pull_request::pull_request(const pull_request& other282) noexcept {
+  node = other282.node;
+  nonce = other282.nonce;
+  revision = other282.revision;
+  position = other282.position;
+  full = other282.full;
+  digest = other282.digest;
+  parents = other282.parents;
+  __isset = other282.__isset;
+}
+pull_request::pull_request(pull_request&& other283) noexcept {
+  node = other283.node;
+  nonce = other283.nonce;
+  revision = other283.revision;
+  position = std::move(other283.position);
+  full = other283.full;
+  digest = other283.digest;
+  parents = other283.parents;
+  __isset = other283.__isset;
+}
+pull_request& pull_request::operator=(const pull_request& other284) noexcept {
+  node = other284.node;
+  nonce = other284.nonce;
+  revision = other284.revision;
+  position = other284.position;
+  full = other284.full;
+  digest = other284.digest;
+  parents = other284.parents;
+  __isset = other284.__isset;
   return *this;
 }
-pull_request& pull_request::operator=(pull_request&& other217) noexcept {
-  node = other217.node;
-  nonce = other217.nonce;
-  revision = other217.revision;
-  position = std::move(other217.position);
-  full = other217.full;
-  digest = other217.digest;
+pull_request& pull_request::operator=(pull_request&& other285) noexcept {
+  node = other285.node;
+  nonce = other285.nonce;
+  revision = other285.revision;
+  position = std::move(other285.position);
+  full = other285.full;
+  digest = other285.digest;
+  parents = other285.parents;
+  __isset = other285.__isset;
   return *this;
 }
 void pull_request::printTo(std::ostream& out) const {
@@ -3076,6 +3672,7 @@
   out << ", " << "position=" << to_string(position);
   out << ", " << "full=" << to_string(full);
   out << ", " << "digest=" << to_string(digest);
+  out << ", " << "parents="; (__isset.parents ? (out << to_string(parents)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3127,6 +3724,16 @@
 void table_page::__set_tombstones(const std::vector<tombstone> & val) {
   this->tombstones = val;
 }
+
+void table_page::__set_routes(const std::vector<route_entry> & val) {
+  this->routes = val;
+__isset.routes = true;
+}
+
+void table_page::__set_document_version(const int64_t val) {
+  this->document_version = val;
+__isset.document_version = true;
+}
 std::ostream& operator<<(std::ostream& out, const table_page& obj)
 {
   obj.printTo(out);
@@ -3147,60 +3754,75 @@
   swap(a.targets, b.targets);
   swap(a.nodes, b.nodes);
   swap(a.tombstones, b.tombstones);
+  swap(a.routes, b.routes);
+  swap(a.document_version, b.document_version);
+  swap(a.__isset, b.__isset);
 }
 
-table_page::table_page(const table_page& other242) {
-  revision = other242.revision;
-  config_version = other242.config_version;
-  full = other242.full;
-  start = other242.start;
-  position = other242.position;
-  complete = other242.complete;
-  digest = other242.digest;
-  services = other242.services;
-  targets = other242.targets;
-  nodes = other242.nodes;
-  tombstones = other242.tombstones;
-}
-table_page::table_page(table_page&& other243) noexcept {
-  revision = other243.revision;
-  config_version = other243.config_version;
-  full = other243.full;
-  start = std::move(other243.start);
-  position = std::move(other243.position);
-  complete = other243.complete;
-  digest = other243.digest;
-  services = std::move(other243.services);
-  targets = std::move(other243.targets);
-  nodes = std::move(other243.nodes);
-  tombstones = std::move(other243.tombstones);
-}
-table_page& table_page::operator=(const table_page& other244) {
-  revision = other244.revision;
-  config_version = other244.config_version;
-  full = other244.full;
-  start = other244.start;
-  position = other244.position;
-  complete = other244.complete;
-  digest = other244.digest;
-  services = other244.services;
-  targets = other244.targets;
-  nodes = other244.nodes;
-  tombstones = other244.tombstones;
-  return *this;
-}
-table_page& table_page::operator=(table_page&& other245) noexcept {
-  revision = other245.revision;
-  config_version = other245.config_version;
-  full = other245.full;
-  start = std::move(other245.start);
-  position = std::move(other245.position);
-  complete = other245.complete;
-  digest = other245.digest;
-  services = std::move(other245.services);
-  targets = std::move(other245.targets);
-  nodes = std::move(other245.nodes);
-  tombstones = std::move(other245.tombstones);
+table_page::table_page(const table_page& other316) {
+  revision = other316.revision;
+  config_version = other316.config_version;
+  full = other316.full;
+  start = other316.start;
+  position = other316.position;
+  complete = other316.complete;
+  digest = other316.digest;
+  services = other316.services;
+  targets = other316.targets;
+  nodes = other316.nodes;
+  tombstones = other316.tombstones;
+  routes = other316.routes;
+  document_version = other316.document_version;
+  __isset = other316.__isset;
+}
+table_page::table_page(table_page&& other317) noexcept {
+  revision = other317.revision;
+  config_version = other317.config_version;
+  full = other317.full;
+  start = std::move(other317.start);
+  position = std::move(other317.position);
+  complete = other317.complete;
+  digest = other317.digest;
+  services = std::move(other317.services);
+  targets = std::move(other317.targets);
+  nodes = std::move(other317.nodes);
+  tombstones = std::move(other317.tombstones);
+  routes = std::move(other317.routes);
+  document_version = other317.document_version;
+  __isset = other317.__isset;
+}
+table_page& table_page::operator=(const table_page& other318) {
+  revision = other318.revision;
+  config_version = other318.config_version;
+  full = other318.full;
+  start = other318.start;
+  position = other318.position;
+  complete = other318.complete;
+  digest = other318.digest;
+  services = other318.services;
+  targets = other318.targets;
+  nodes = other318.nodes;
+  tombstones = other318.tombstones;
+  routes = other318.routes;
+  document_version = other318.document_version;
+  __isset = other318.__isset;
+  return *this;
+}
+table_page& table_page::operator=(table_page&& other319) noexcept {
+  revision = other319.revision;
+  config_version = other319.config_version;
+  full = other319.full;
+  start = std::move(other319.start);
+  position = std::move(other319.position);
+  complete = other319.complete;
+  digest = other319.digest;
+  services = std::move(other319.services);
+  targets = std::move(other319.targets);
+  nodes = std::move(other319.nodes);
+  tombstones = std::move(other319.tombstones);
+  routes = std::move(other319.routes);
+  document_version = other319.document_version;
+  __isset = other319.__isset;
   return *this;
 }
 void table_page::printTo(std::ostream& out) const {
@@ -3217,6 +3839,8 @@
   out << ", " << "targets=" << to_string(targets);
   out << ", " << "nodes=" << to_string(nodes);
   out << ", " << "tombstones=" << to_string(tombstones);
+  out << ", " << "routes="; (__isset.routes ? (out << to_string(routes)) : (out << "<null>"));
+  out << ", " << "document_version="; (__isset.document_version ? (out << to_string(document_version)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3241,6 +3865,11 @@
   this->crowded = val;
 __isset.crowded = true;
 }
+
+void pull_reply::__set_parents(const std::vector<endpoint> & val) {
+  this->parents = val;
+__isset.parents = true;
+}
 std::ostream& operator<<(std::ostream& out, const pull_reply& obj)
 {
   obj.printTo(out);
@@ -3254,37 +3883,42 @@
   swap(a.age_ms, b.age_ms);
   swap(a.page, b.page);
   swap(a.crowded, b.crowded);
+  swap(a.parents, b.parents);
   swap(a.__isset, b.__isset);
 }
 
-pull_reply::pull_reply(const pull_reply& other246) {
-  nonce = other246.nonce;
-  age_ms = other246.age_ms;
-  page = other246.page;
-  crowded = other246.crowded;
-  __isset = other246.__isset;
-}
-pull_reply::pull_reply(pull_reply&& other247) noexcept {
-  nonce = other247.nonce;
-  age_ms = other247.age_ms;
-  page = std::move(other247.page);
-  crowded = other247.crowded;
-  __isset = other247.__isset;
-}
-pull_reply& pull_reply::operator=(const pull_reply& other248) {
-  nonce = other248.nonce;
-  age_ms = other248.age_ms;
-  page = other248.page;
-  crowded = other248.crowded;
-  __isset = other248.__isset;
+pull_reply::pull_reply(const pull_reply& other326) {
+  nonce = other326.nonce;
+  age_ms = other326.age_ms;
+  page = other326.page;
+  crowded = other326.crowded;
+  parents = other326.parents;
+  __isset = other326.__isset;
+}
+pull_reply::pull_reply(pull_reply&& other327) noexcept {
+  nonce = other327.nonce;
+  age_ms = other327.age_ms;
+  page = std::move(other327.page);
+  crowded = other327.crowded;
+  parents = std::move(other327.parents);
+  __isset = other327.__isset;
+}
+pull_reply& pull_reply::operator=(const pull_reply& other328) {
+  nonce = other328.nonce;
+  age_ms = other328.age_ms;
+  page = other328.page;
+  crowded = other328.crowded;
+  parents = other328.parents;
+  __isset = other328.__isset;
   return *this;
 }
-pull_reply& pull_reply::operator=(pull_reply&& other249) noexcept {
-  nonce = other249.nonce;
-  age_ms = other249.age_ms;
-  page = std::move(other249.page);
-  crowded = other249.crowded;
-  __isset = other249.__isset;
+pull_reply& pull_reply::operator=(pull_reply&& other329) noexcept {
+  nonce = other329.nonce;
+  age_ms = other329.age_ms;
+  page = std::move(other329.page);
+  crowded = other329.crowded;
+  parents = std::move(other329.parents);
+  __isset = other329.__isset;
   return *this;
 }
 void pull_reply::printTo(std::ostream& out) const {
@@ -3294,6 +3928,7 @@
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ", " << "page=" << to_string(page);
   out << ", " << "crowded="; (__isset.crowded ? (out << to_string(crowded)) : (out << "<null>"));
+  out << ", " << "parents="; (__isset.parents ? (out << to_string(parents)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3317,18 +3952,18 @@
   swap(a.revision, b.revision);
 }
 
-change_notice::change_notice(const change_notice& other250) noexcept {
-  revision = other250.revision;
+change_notice::change_notice(const change_notice& other330) noexcept {
+  revision = other330.revision;
 }
-change_notice::change_notice(change_notice&& other251) noexcept {
-  revision = other251.revision;
+change_notice::change_notice(change_notice&& other331) noexcept {
+  revision = other331.revision;
 }
-change_notice& change_notice::operator=(const change_notice& other252) noexcept {
-  revision = other252.revision;
+change_notice& change_notice::operator=(const change_notice& other332) noexcept {
+  revision = other332.revision;
   return *this;
 }
-change_notice& change_notice::operator=(change_notice&& other253) noexcept {
-  revision = other253.revision;
+change_notice& change_notice::operator=(change_notice&& other333) noexcept {
+  revision = other333.revision;
   return *this;
 }
 void change_notice::printTo(std::ostream& out) const {
@@ -3412,62 +4047,62 @@
   swap(a.__isset, b.__isset);
 }
 
-announce::announce(const announce& other254) {
-  nonce = other254.nonce;
-  role = other254.role;
-  name = other254.name;
-  zone = other254.zone;
-  address = other254.address;
-  reply_to = other254.reply_to;
-  service_name = other254.service_name;
-  slots = other254.slots;
-  connections = other254.connections;
-  state = other254.state;
-  hops = other254.hops;
-  __isset = other254.__isset;
-}
-announce::announce(announce&& other255) noexcept {
-  nonce = other255.nonce;
-  role = other255.role;
-  name = std::move(other255.name);
-  zone = std::move(other255.zone);
-  address = std::move(other255.address);
-  reply_to = std::move(other255.reply_to);
-  service_name = std::move(other255.service_name);
-  slots = other255.slots;
-  connections = other255.connections;
-  state = other255.state;
-  hops = other255.hops;
-  __isset = other255.__isset;
-}
-announce& announce::operator=(const announce& other256) {
-  nonce = other256.nonce;
-  role = other256.role;
-  name = other256.name;
-  zone = other256.zone;
-  address = other256.address;
-  reply_to = other256.reply_to;
-  service_name = other256.service_name;
-  slots = other256.slots;
-  connections = other256.connections;
-  state = other256.state;
-  hops = other256.hops;
-  __isset = other256.__isset;
-  return *this;
-}
-announce& announce::operator=(announce&& other257) noexcept {
-  nonce = other257.nonce;
-  role = other257.role;
-  name = std::move(other257.name);
-  zone = std::move(other257.zone);
-  address = std::move(other257.address);
-  reply_to = std::move(other257.reply_to);
-  service_name = std::move(other257.service_name);
-  slots = other257.slots;
-  connections = other257.connections;
-  state = other257.state;
-  hops = other257.hops;
-  __isset = other257.__isset;
+announce::announce(const announce& other334) {
+  nonce = other334.nonce;
+  role = other334.role;
+  name = other334.name;
+  zone = other334.zone;
+  address = other334.address;
+  reply_to = other334.reply_to;
+  service_name = other334.service_name;
+  slots = other334.slots;
+  connections = other334.connections;
+  state = other334.state;
+  hops = other334.hops;
+  __isset = other334.__isset;
+}
+announce::announce(announce&& other335) noexcept {
+  nonce = other335.nonce;
+  role = other335.role;
+  name = std::move(other335.name);
+  zone = std::move(other335.zone);
+  address = std::move(other335.address);
+  reply_to = std::move(other335.reply_to);
+  service_name = std::move(other335.service_name);
+  slots = other335.slots;
+  connections = other335.connections;
+  state = other335.state;
+  hops = other335.hops;
+  __isset = other335.__isset;
+}
+announce& announce::operator=(const announce& other336) {
+  nonce = other336.nonce;
+  role = other336.role;
+  name = other336.name;
+  zone = other336.zone;
+  address = other336.address;
+  reply_to = other336.reply_to;
+  service_name = other336.service_name;
+  slots = other336.slots;
+  connections = other336.connections;
+  state = other336.state;
+  hops = other336.hops;
+  __isset = other336.__isset;
+  return *this;
+}
+announce& announce::operator=(announce&& other337) noexcept {
+  nonce = other337.nonce;
+  role = other337.role;
+  name = std::move(other337.name);
+  zone = std::move(other337.zone);
+  address = std::move(other337.address);
+  reply_to = std::move(other337.reply_to);
+  service_name = std::move(other337.service_name);
+  slots = other337.slots;
+  connections = other337.connections;
+  state = other337.state;
+  hops = other337.hops;
+  __isset = other337.__isset;
   return *this;
 }
 void announce::printTo(std::ostream& out) const {
@@ -3527,34 +4162,34 @@
   swap(a.retry_after_ms, b.retry_after_ms);
 }
 
-announce_reply::announce_reply(const announce_reply& other258) noexcept {
-  nonce = other258.nonce;
-  incarnation = other258.incarnation;
-  code = other258.code;
-  revision = other258.revision;
-  retry_after_ms = other258.retry_after_ms;
-}
-announce_reply::announce_reply(announce_reply&& other259) noexcept {
-  nonce = other259.nonce;
-  incarnation = other259.incarnation;
-  code = other259.code;
-  revision = other259.revision;
-  retry_after_ms = other259.retry_after_ms;
-}
-announce_reply& announce_reply::operator=(const announce_reply& other260) noexcept {
-  nonce = other260.nonce;
-  incarnation = other260.incarnation;
-  code = other260.code;
-  revision = other260.revision;
-  retry_after_ms = other260.retry_after_ms;
+announce_reply::announce_reply(const announce_reply& other338) noexcept {
+  nonce = other338.nonce;
+  incarnation = other338.incarnation;
+  code = other338.code;
+  revision = other338.revision;
+  retry_after_ms = other338.retry_after_ms;
+}
+announce_reply::announce_reply(announce_reply&& other339) noexcept {
+  nonce = other339.nonce;
+  incarnation = other339.incarnation;
+  code = other339.code;
+  revision = other339.revision;
+  retry_after_ms = other339.retry_after_ms;
+}
+announce_reply& announce_reply::operator=(const announce_reply& other340) noexcept {
+  nonce = other340.nonce;
+  incarnation = other340.incarnation;
+  code = other340.code;
+  revision = other340.revision;
+  retry_after_ms = other340.retry_after_ms;
   return *this;
 }
-announce_reply& announce_reply::operator=(announce_reply&& other261) noexcept {
-  nonce = other261.nonce;
-  incarnation = other261.incarnation;
-  code = other261.code;
-  revision = other261.revision;
-  retry_after_ms = other261.retry_after_ms;
+announce_reply& announce_reply::operator=(announce_reply&& other341) noexcept {
+  nonce = other341.nonce;
+  incarnation = other341.incarnation;
+  code = other341.code;
+  revision = other341.revision;
+  retry_after_ms = other341.retry_after_ms;
   return *this;
 }
 void announce_reply::printTo(std::ostream& out) const {
@@ -3598,26 +4233,26 @@
   swap(a.silent_ms, b.silent_ms);
 }
 
-child_report::child_report(const child_report& other262) noexcept {
-  node = other262.node;
-  revision = other262.revision;
-  silent_ms = other262.silent_ms;
+child_report::child_report(const child_report& other342) noexcept {
+  node = other342.node;
+  revision = other342.revision;
+  silent_ms = other342.silent_ms;
 }
-child_report::child_report(child_report&& other263) noexcept {
-  node = other263.node;
-  revision = other263.revision;
-  silent_ms = other263.silent_ms;
+child_report::child_report(child_report&& other343) noexcept {
+  node = other343.node;
+  revision = other343.revision;
+  silent_ms = other343.silent_ms;
 }
-child_report& child_report::operator=(const child_report& other264) noexcept {
-  node = other264.node;
-  revision = other264.revision;
-  silent_ms = other264.silent_ms;
+child_report& child_report::operator=(const child_report& other344) noexcept {
+  node = other344.node;
+  revision = other344.revision;
+  silent_ms = other344.silent_ms;
   return *this;
 }
-child_report& child_report::operator=(child_report&& other265) noexcept {
-  node = other265.node;
-  revision = other265.revision;
-  silent_ms = other265.silent_ms;
+child_report& child_report::operator=(child_report&& other345) noexcept {
+  node = other345.node;
+  revision = other345.revision;
+  silent_ms = other345.silent_ms;
   return *this;
 }
 void child_report::printTo(std::ostream& out) const {
@@ -3679,42 +4314,42 @@
   swap(a.live_children, b.live_children);
 }
 
-relay_report::relay_report(const relay_report& other272) {
-  relay = other272.relay;
-  nonce = other272.nonce;
-  sequence = other272.sequence;
-  full = other272.full;
-  children = other272.children;
-  lowest_revision = other272.lowest_revision;
-  live_children = other272.live_children;
-}
-relay_report::relay_report(relay_report&& other273) noexcept {
-  relay = other273.relay;
-  nonce = other273.nonce;
-  sequence = other273.sequence;
-  full = other273.full;
-  children = std::move(other273.children);
-  lowest_revision = other273.lowest_revision;
-  live_children = other273.live_children;
-}
-relay_report& relay_report::operator=(const relay_report& other274) {
-  relay = other274.relay;
-  nonce = other274.nonce;
-  sequence = other274.sequence;
-  full = other274.full;
-  children = other274.children;
-  lowest_revision = other274.lowest_revision;
-  live_children = other274.live_children;
-  return *this;
-}
-relay_report& relay_report::operator=(relay_report&& other275) noexcept {
-  relay = other275.relay;
-  nonce = other275.nonce;
-  sequence = other275.sequence;
-  full = other275.full;
-  children = std::move(other275.children);
-  lowest_revision = other275.lowest_revision;
-  live_children = other275.live_children;
+relay_report::relay_report(const relay_report& other352) {
+  relay = other352.relay;
+  nonce = other352.nonce;
+  sequence = other352.sequence;
+  full = other352.full;
+  children = other352.children;
+  lowest_revision = other352.lowest_revision;
+  live_children = other352.live_children;
+}
+relay_report::relay_report(relay_report&& other353) noexcept {
+  relay = other353.relay;
+  nonce = other353.nonce;
+  sequence = other353.sequence;
+  full = other353.full;
+  children = std::move(other353.children);
+  lowest_revision = other353.lowest_revision;
+  live_children = other353.live_children;
+}
+relay_report& relay_report::operator=(const relay_report& other354) {
+  relay = other354.relay;
+  nonce = other354.nonce;
+  sequence = other354.sequence;
+  full = other354.full;
+  children = other354.children;
+  lowest_revision = other354.lowest_revision;
+  live_children = other354.live_children;
+  return *this;
+}
+relay_report& relay_report::operator=(relay_report&& other355) noexcept {
+  relay = other355.relay;
+  nonce = other355.nonce;
+  sequence = other355.sequence;
+  full = other355.full;
+  children = std::move(other355.children);
+  lowest_revision = other355.lowest_revision;
+  live_children = other355.live_children;
   return *this;
 }
 void relay_report::printTo(std::ostream& out) const {
@@ -3760,26 +4395,26 @@
   swap(a.send_full, b.send_full);
 }
 
-relay_report_reply::relay_report_reply(const relay_report_reply& other276) noexcept {
-  nonce = other276.nonce;
-  sequence = other276.sequence;
-  send_full = other276.send_full;
+relay_report_reply::relay_report_reply(const relay_report_reply& other356) noexcept {
+  nonce = other356.nonce;
+  sequence = other356.sequence;
+  send_full = other356.send_full;
 }
-relay_report_reply::relay_report_reply(relay_report_reply&& other277) noexcept {
-  nonce = other277.nonce;
-  sequence = other277.sequence;
-  send_full = other277.send_full;
+relay_report_reply::relay_report_reply(relay_report_reply&& other357) noexcept {
+  nonce = other357.nonce;
+  sequence = other357.sequence;
+  send_full = other357.send_full;
 }
-relay_report_reply& relay_report_reply::operator=(const relay_report_reply& other278) noexcept {
-  nonce = other278.nonce;
-  sequence = other278.sequence;
-  send_full = other278.send_full;
+relay_report_reply& relay_report_reply::operator=(const relay_report_reply& other358) noexcept {
+  nonce = other358.nonce;
+  sequence = other358.sequence;
+  send_full = other358.send_full;
   return *this;
 }
-relay_report_reply& relay_report_reply::operator=(relay_report_reply&& other279) noexcept {
-  nonce = other279.nonce;
-  sequence = other279.sequence;
-  send_full = other279.send_full;
+relay_report_reply& relay_report_reply::operator=(relay_report_reply&& other359) noexcept {
+  nonce = other359.nonce;
+  sequence = other359.sequence;
+  send_full = other359.send_full;
   return *this;
 }
 void relay_report_reply::printTo(std::ostream& out) const {
@@ -3811,18 +4446,18 @@
   swap(a.nonce, b.nonce);
 }
 
-flow_open::flow_open(const flow_open& other280) noexcept {
-  nonce = other280.nonce;
+flow_open::flow_open(const flow_open& other360) noexcept {
+  nonce = other360.nonce;
 }
-flow_open::flow_open(flow_open&& other281) noexcept {
-  nonce = other281.nonce;
+flow_open::flow_open(flow_open&& other361) noexcept {
+  nonce = other361.nonce;
 }
-flow_open& flow_open::operator=(const flow_open& other282) noexcept {
-  nonce = other282.nonce;
+flow_open& flow_open::operator=(const flow_open& other362) noexcept {
+  nonce = other362.nonce;
   return *this;
 }
-flow_open& flow_open::operator=(flow_open&& other283) noexcept {
-  nonce = other283.nonce;
+flow_open& flow_open::operator=(flow_open&& other363) noexcept {
+  nonce = other363.nonce;
   return *this;
 }
 void flow_open::printTo(std::ostream& out) const {
@@ -3862,26 +4497,26 @@
   swap(a.token, b.token);
 }
 
-flow_open_ack::flow_open_ack(const flow_open_ack& other284) noexcept {
-  nonce = other284.nonce;
-  incarnation = other284.incarnation;
-  token = other284.token;
+flow_open_ack::flow_open_ack(const flow_open_ack& other364) noexcept {
+  nonce = other364.nonce;
+  incarnation = other364.incarnation;
+  token = other364.token;
 }
-flow_open_ack::flow_open_ack(flow_open_ack&& other285) noexcept {
-  nonce = other285.nonce;
-  incarnation = other285.incarnation;
-  token = other285.token;
+flow_open_ack::flow_open_ack(flow_open_ack&& other365) noexcept {
+  nonce = other365.nonce;
+  incarnation = other365.incarnation;
+  token = other365.token;
 }
-flow_open_ack& flow_open_ack::operator=(const flow_open_ack& other286) noexcept {
-  nonce = other286.nonce;
-  incarnation = other286.incarnation;
-  token = other286.token;
+flow_open_ack& flow_open_ack::operator=(const flow_open_ack& other366) noexcept {
+  nonce = other366.nonce;
+  incarnation = other366.incarnation;
+  token = other366.token;
   return *this;
 }
-flow_open_ack& flow_open_ack::operator=(flow_open_ack&& other287) noexcept {
-  nonce = other287.nonce;
-  incarnation = other287.incarnation;
-  token = other287.token;
+flow_open_ack& flow_open_ack::operator=(flow_open_ack&& other367) noexcept {
+  nonce = other367.nonce;
+  incarnation = other367.incarnation;
+  token = other367.token;
   return *this;
 }
 void flow_open_ack::printTo(std::ostream& out) const {
@@ -3918,22 +4553,22 @@
   swap(a.reason, b.reason);
 }
 
-flow_refused::flow_refused(const flow_refused& other288) noexcept {
-  nonce = other288.nonce;
-  reason = other288.reason;
+flow_refused::flow_refused(const flow_refused& other368) noexcept {
+  nonce = other368.nonce;
+  reason = other368.reason;
 }
-flow_refused::flow_refused(flow_refused&& other289) noexcept {
-  nonce = other289.nonce;
-  reason = other289.reason;
+flow_refused::flow_refused(flow_refused&& other369) noexcept {
+  nonce = other369.nonce;
+  reason = other369.reason;
 }
-flow_refused& flow_refused::operator=(const flow_refused& other290) noexcept {
-  nonce = other290.nonce;
-  reason = other290.reason;
+flow_refused& flow_refused::operator=(const flow_refused& other370) noexcept {
+  nonce = other370.nonce;
+  reason = other370.reason;
   return *this;
 }
-flow_refused& flow_refused::operator=(flow_refused&& other291) noexcept {
-  nonce = other291.nonce;
-  reason = other291.reason;
+flow_refused& flow_refused::operator=(flow_refused&& other371) noexcept {
+  nonce = other371.nonce;
+  reason = other371.reason;
   return *this;
 }
 void flow_refused::printTo(std::ostream& out) const {
@@ -3999,46 +4634,46 @@
   swap(a.body, b.body);
 }
 
-request::request(const request& other292) {
-  incarnation = other292.incarnation;
-  token = other292.token;
-  sequence = other292.sequence;
-  settled_below = other292.settled_below;
-  idempotent = other292.idempotent;
-  remaining_ms = other292.remaining_ms;
-  method = other292.method;
-  body = other292.body;
-}
-request::request(request&& other293) noexcept {
-  incarnation = other293.incarnation;
-  token = other293.token;
-  sequence = other293.sequence;
-  settled_below = other293.settled_below;
-  idempotent = other293.idempotent;
-  remaining_ms = other293.remaining_ms;
-  method = std::move(other293.method);
-  body = std::move(other293.body);
-}
-request& request::operator=(const request& other294) {
-  incarnation = other294.incarnation;
-  token = other294.token;
-  sequence = other294.sequence;
-  settled_below = other294.settled_below;
-  idempotent = other294.idempotent;
-  remaining_ms = other294.remaining_ms;
-  method = other294.method;
-  body = other294.body;
-  return *this;
-}
-request& request::operator=(request&& other295) noexcept {
-  incarnation = other295.incarnation;
-  token = other295.token;
-  sequence = other295.sequence;
-  settled_below = other295.settled_below;
-  idempotent = other295.idempotent;
-  remaining_ms = other295.remaining_ms;
-  method = std::move(other295.method);
-  body = std::move(other295.body);
+request::request(const request& other372) {
+  incarnation = other372.incarnation;
+  token = other372.token;
+  sequence = other372.sequence;
+  settled_below = other372.settled_below;
+  idempotent = other372.idempotent;
+  remaining_ms = other372.remaining_ms;
+  method = other372.method;
+  body = other372.body;
+}
+request::request(request&& other373) noexcept {
+  incarnation = other373.incarnation;
+  token = other373.token;
+  sequence = other373.sequence;
+  settled_below = other373.settled_below;
+  idempotent = other373.idempotent;
+  remaining_ms = other373.remaining_ms;
+  method = std::move(other373.method);
+  body = std::move(other373.body);
+}
+request& request::operator=(const request& other374) {
+  incarnation = other374.incarnation;
+  token = other374.token;
+  sequence = other374.sequence;
+  settled_below = other374.settled_below;
+  idempotent = other374.idempotent;
+  remaining_ms = other374.remaining_ms;
+  method = other374.method;
+  body = other374.body;
+  return *this;
+}
+request& request::operator=(request&& other375) noexcept {
+  incarnation = other375.incarnation;
+  token = other375.token;
+  sequence = other375.sequence;
+  settled_below = other375.settled_below;
+  idempotent = other375.idempotent;
+  remaining_ms = other375.remaining_ms;
+  method = std::move(other375.method);
+  body = std::move(other375.body);
   return *this;
 }
 void request::printTo(std::ostream& out) const {
@@ -4105,42 +4740,42 @@
   swap(a.bytes, b.bytes);
 }
 
-response_part::response_part(const response_part& other296) {
-  token = other296.token;
-  sequence = other296.sequence;
-  index = other296.index;
-  count = other296.count;
-  total_length = other296.total_length;
-  checksum = other296.checksum;
-  bytes = other296.bytes;
-}
-response_part::response_part(response_part&& other297) noexcept {
-  token = other297.token;
-  sequence = other297.sequence;
-  index = other297.index;
-  count = other297.count;
-  total_length = other297.total_length;
-  checksum = other297.checksum;
-  bytes = std::move(other297.bytes);
-}
-response_part& response_part::operator=(const response_part& other298) {
-  token = other298.token;
-  sequence = other298.sequence;
-  index = other298.index;
-  count = other298.count;
-  total_length = other298.total_length;
-  checksum = other298.checksum;
-  bytes = other298.bytes;
-  return *this;
-}
-response_part& response_part::operator=(response_part&& other299) noexcept {
-  token = other299.token;
-  sequence = other299.sequence;
-  index = other299.index;
-  count = other299.count;
-  total_length = other299.total_length;
-  checksum = other299.checksum;
-  bytes = std::move(other299.bytes);
+response_part::response_part(const response_part& other376) {
+  token = other376.token;
+  sequence = other376.sequence;
+  index = other376.index;
+  count = other376.count;
+  total_length = other376.total_length;
+  checksum = other376.checksum;
+  bytes = other376.bytes;
+}
+response_part::response_part(response_part&& other377) noexcept {
+  token = other377.token;
+  sequence = other377.sequence;
+  index = other377.index;
+  count = other377.count;
+  total_length = other377.total_length;
+  checksum = other377.checksum;
+  bytes = std::move(other377.bytes);
+}
+response_part& response_part::operator=(const response_part& other378) {
+  token = other378.token;
+  sequence = other378.sequence;
+  index = other378.index;
+  count = other378.count;
+  total_length = other378.total_length;
+  checksum = other378.checksum;
+  bytes = other378.bytes;
+  return *this;
+}
+response_part& response_part::operator=(response_part&& other379) noexcept {
+  token = other379.token;
+  sequence = other379.sequence;
+  index = other379.index;
+  count = other379.count;
+  total_length = other379.total_length;
+  checksum = other379.checksum;
+  bytes = std::move(other379.bytes);
   return *this;
 }
 void response_part::printTo(std::ostream& out) const {
@@ -4191,30 +4826,30 @@
   swap(a.reason, b.reason);
 }
 
-request_result::request_result(const request_result& other300) noexcept {
-  token = other300.token;
-  sequence = other300.sequence;
-  status = other300.status;
-  reason = other300.reason;
+request_result::request_result(const request_result& other380) noexcept {
+  token = other380.token;
+  sequence = other380.sequence;
+  status = other380.status;
+  reason = other380.reason;
 }
-request_result::request_result(request_result&& other301) noexcept {
-  token = other301.token;
-  sequence = other301.sequence;
-  status = other301.status;
-  reason = other301.reason;
+request_result::request_result(request_result&& other381) noexcept {
+  token = other381.token;
+  sequence = other381.sequence;
+  status = other381.status;
+  reason = other381.reason;
 }
-request_result& request_result::operator=(const request_result& other302) noexcept {
-  token = other302.token;
-  sequence = other302.sequence;
-  status = other302.status;
-  reason = other302.reason;
+request_result& request_result::operator=(const request_result& other382) noexcept {
+  token = other382.token;
+  sequence = other382.sequence;
+  status = other382.status;
+  reason = other382.reason;
   return *this;
 }
-request_result& request_result::operator=(request_result&& other303) noexcept {
-  token = other303.token;
-  sequence = other303.sequence;
-  status = other303.status;
-  reason = other303.reason;
+request_result& request_result::operator=(request_result&& other383) noexcept {
+  token = other383.token;
+  sequence = other383.sequence;
+  status = other383.status;
+  reason = other383.reason;
   return *this;
 }
 void request_result::printTo(std::ostream& out) const {
@@ -4257,26 +4892,26 @@
   swap(a.missing, b.missing);
 }
 
-part_request::part_request(const part_request& other310) {
-  token = other310.token;
-  sequence = other310.sequence;
-  missing = other310.missing;
+part_request::part_request(const part_request& other390) {
+  token = other390.token;
+  sequence = other390.sequence;
+  missing = other390.missing;
 }
-part_request::part_request(part_request&& other311) noexcept {
-  token = other311.token;
-  sequence = other311.sequence;
-  missing = std::move(other311.missing);
+part_request::part_request(part_request&& other391) noexcept {
+  token = other391.token;
+  sequence = other391.sequence;
+  missing = std::move(other391.missing);
 }
-part_request& part_request::operator=(const part_request& other312) {
-  token = other312.token;
-  sequence = other312.sequence;
-  missing = other312.missing;
+part_request& part_request::operator=(const part_request& other392) {
+  token = other392.token;
+  sequence = other392.sequence;
+  missing = other392.missing;
   return *this;
 }
-part_request& part_request::operator=(part_request&& other313) noexcept {
-  token = other313.token;
-  sequence = other313.sequence;
-  missing = std::move(other313.missing);
+part_request& part_request::operator=(part_request&& other393) noexcept {
+  token = other393.token;
+  sequence = other393.sequence;
+  missing = std::move(other393.missing);
   return *this;
 }
 void part_request::printTo(std::ostream& out) const {
@@ -4318,26 +4953,26 @@
   swap(a.sequence, b.sequence);
 }
 
-request_cancel::request_cancel(const request_cancel& other314) noexcept {
-  incarnation = other314.incarnation;
-  token = other314.token;
-  sequence = other314.sequence;
+request_cancel::request_cancel(const request_cancel& other394) noexcept {
+  incarnation = other394.incarnation;
+  token = other394.token;
+  sequence = other394.sequence;
 }
-request_cancel::request_cancel(request_cancel&& other315) noexcept {
-  incarnation = other315.incarnation;
-  token = other315.token;
-  sequence = other315.sequence;
+request_cancel::request_cancel(request_cancel&& other395) noexcept {
+  incarnation = other395.incarnation;
+  token = other395.token;
+  sequence = other395.sequence;
 }
-request_cancel& request_cancel::operator=(const request_cancel& other316) noexcept {
-  incarnation = other316.incarnation;
-  token = other316.token;
-  sequence = other316.sequence;
+request_cancel& request_cancel::operator=(const request_cancel& other396) noexcept {
+  incarnation = other396.incarnation;
+  token = other396.token;
+  sequence = other396.sequence;
   return *this;
 }
-request_cancel& request_cancel::operator=(request_cancel&& other317) noexcept {
-  incarnation = other317.incarnation;
-  token = other317.token;
-  sequence = other317.sequence;
+request_cancel& request_cancel::operator=(request_cancel&& other397) noexcept {
+  incarnation = other397.incarnation;
+  token = other397.token;
+  sequence = other397.sequence;
   return *this;
 }
 void request_cancel::printTo(std::ostream& out) const {
@@ -4374,22 +5009,22 @@
   swap(a.token, b.token);
 }
 
-flow_close::flow_close(const flow_close& other318) noexcept {
-  incarnation = other318.incarnation;
-  token = other318.token;
+flow_close::flow_close(const flow_close& other398) noexcept {
+  incarnation = other398.incarnation;
+  token = other398.token;
 }
-flow_close::flow_close(flow_close&& other319) noexcept {
-  incarnation = other319.incarnation;
-  token = other319.token;
+flow_close::flow_close(flow_close&& other399) noexcept {
+  incarnation = other399.incarnation;
+  token = other399.token;
 }
-flow_close& flow_close::operator=(const flow_close& other320) noexcept {
-  incarnation = other320.incarnation;
-  token = other320.token;
+flow_close& flow_close::operator=(const flow_close& other400) noexcept {
+  incarnation = other400.incarnation;
+  token = other400.token;
   return *this;
 }
-flow_close& flow_close::operator=(flow_close&& other321) noexcept {
-  incarnation = other321.incarnation;
-  token = other321.token;
+flow_close& flow_close::operator=(flow_close&& other401) noexcept {
+  incarnation = other401.incarnation;
+  token = other401.token;
   return *this;
 }
 void flow_close::printTo(std::ostream& out) const {
@@ -4420,18 +5055,18 @@
   swap(a.token, b.token);
 }
 
-flow_close_ack::flow_close_ack(const flow_close_ack& other322) noexcept {
-  token = other322.token;
+flow_close_ack::flow_close_ack(const flow_close_ack& other402) noexcept {
+  token = other402.token;
 }
-flow_close_ack::flow_close_ack(flow_close_ack&& other323) noexcept {
-  token = other323.token;
+flow_close_ack::flow_close_ack(flow_close_ack&& other403) noexcept {
+  token = other403.token;
 }
-flow_close_ack& flow_close_ack::operator=(const flow_close_ack& other324) noexcept {
-  token = other324.token;
+flow_close_ack& flow_close_ack::operator=(const flow_close_ack& other404) noexcept {
+  token = other404.token;
   return *this;
 }
-flow_close_ack& flow_close_ack::operator=(flow_close_ack&& other325) noexcept {
-  token = other325.token;
+flow_close_ack& flow_close_ack::operator=(flow_close_ack&& other405) noexcept {
+  token = other405.token;
   return *this;
 }
 void flow_close_ack::printTo(std::ostream& out) const {
@@ -4466,22 +5101,22 @@
   swap(a.token, b.token);
 }
 
-flow_reset::flow_reset(const flow_reset& other326) noexcept {
-  incarnation = other326.incarnation;
-  token = other326.token;
+flow_reset::flow_reset(const flow_reset& other406) noexcept {
+  incarnation = other406.incarnation;
+  token = other406.token;
 }
-flow_reset::flow_reset(flow_reset&& other327) noexcept {
-  incarnation = other327.incarnation;
-  token = other327.token;
+flow_reset::flow_reset(flow_reset&& other407) noexcept {
+  incarnation = other407.incarnation;
+  token = other407.token;
 }
-flow_reset& flow_reset::operator=(const flow_reset& other328) noexcept {
-  incarnation = other328.incarnation;
-  token = other328.token;
+flow_reset& flow_reset::operator=(const flow_reset& other408) noexcept {
+  incarnation = other408.incarnation;
+  token = other408.token;
   return *this;
 }
-flow_reset& flow_reset::operator=(flow_reset&& other329) noexcept {
-  incarnation = other329.incarnation;
-  token = other329.token;
+flow_reset& flow_reset::operator=(flow_reset&& other409) noexcept {
+  incarnation = other409.incarnation;
+  token = other409.token;
   return *this;
 }
 void flow_reset::printTo(std::ostream& out) const {
@@ -4522,26 +5157,26 @@
   swap(a.bytes, b.bytes);
 }
 
-push::push(const push& other330) {
-  token = other330.token;
-  sequence = other330.sequence;
-  bytes = other330.bytes;
+push::push(const push& other410) {
+  token = other410.token;
+  sequence = other410.sequence;
+  bytes = other410.bytes;
 }
-push::push(push&& other331) noexcept {
-  token = other331.token;
-  sequence = other331.sequence;
-  bytes = std::move(other331.bytes);
+push::push(push&& other411) noexcept {
+  token = other411.token;
+  sequence = other411.sequence;
+  bytes = std::move(other411.bytes);
 }
-push& push::operator=(const push& other332) {
-  token = other332.token;
-  sequence = other332.sequence;
-  bytes = other332.bytes;
+push& push::operator=(const push& other412) {
+  token = other412.token;
+  sequence = other412.sequence;
+  bytes = other412.bytes;
   return *this;
 }
-push& push::operator=(push&& other333) noexcept {
-  token = other333.token;
-  sequence = other333.sequence;
-  bytes = std::move(other333.bytes);
+push& push::operator=(push&& other413) noexcept {
+  token = other413.token;
+  sequence = other413.sequence;
+  bytes = std::move(other413.bytes);
   return *this;
 }
 void push::printTo(std::ostream& out) const {
@@ -4578,22 +5213,22 @@
   swap(a.sequence, b.sequence);
 }
 
-push_ack::push_ack(const push_ack& other334) noexcept {
-  token = other334.token;
-  sequence = other334.sequence;
+push_ack::push_ack(const push_ack& other414) noexcept {
+  token = other414.token;
+  sequence = other414.sequence;
 }
-push_ack::push_ack(push_ack&& other335) noexcept {
-  token = other335.token;
-  sequence = other335.sequence;
+push_ack::push_ack(push_ack&& other415) noexcept {
+  token = other415.token;
+  sequence = other415.sequence;
 }
-push_ack& push_ack::operator=(const push_ack& other336) noexcept {
-  token = other336.token;
-  sequence = other336.sequence;
+push_ack& push_ack::operator=(const push_ack& other416) noexcept {
+  token = other416.token;
+  sequence = other416.sequence;
   return *this;
 }
-push_ack& push_ack::operator=(push_ack&& other337) noexcept {
-  token = other337.token;
-  sequence = other337.sequence;
+push_ack& push_ack::operator=(push_ack&& other417) noexcept {
+  token = other417.token;
+  sequence = other417.sequence;
   return *this;
 }
 void push_ack::printTo(std::ostream& out) const {
@@ -4624,18 +5259,18 @@
   swap(a.token, b.token);
 }
 
-flow_keepalive::flow_keepalive(const flow_keepalive& other338) noexcept {
-  token = other338.token;
+flow_keepalive::flow_keepalive(const flow_keepalive& other418) noexcept {
+  token = other418.token;
 }
-flow_keepalive::flow_keepalive(flow_keepalive&& other339) noexcept {
-  token = other339.token;
+flow_keepalive::flow_keepalive(flow_keepalive&& other419) noexcept {
+  token = other419.token;
 }
-flow_keepalive& flow_keepalive::operator=(const flow_keepalive& other340) noexcept {
-  token = other340.token;
+flow_keepalive& flow_keepalive::operator=(const flow_keepalive& other420) noexcept {
+  token = other420.token;
   return *this;
 }
-flow_keepalive& flow_keepalive::operator=(flow_keepalive&& other341) noexcept {
-  token = other341.token;
+flow_keepalive& flow_keepalive::operator=(flow_keepalive&& other421) noexcept {
+  token = other421.token;
   return *this;
 }
 void flow_keepalive::printTo(std::ostream& out) const {
@@ -4665,18 +5300,18 @@
   swap(a.token, b.token);
 }
 
-flow_draining::flow_draining(const flow_draining& other342) noexcept {
-  token = other342.token;
+flow_draining::flow_draining(const flow_draining& other422) noexcept {
+  token = other422.token;
 }
-flow_draining::flow_draining(flow_draining&& other343) noexcept {
-  token = other343.token;
+flow_draining::flow_draining(flow_draining&& other423) noexcept {
+  token = other423.token;
 }
-flow_draining& flow_draining::operator=(const flow_draining& other344) noexcept {
-  token = other344.token;
+flow_draining& flow_draining::operator=(const flow_draining& other424) noexcept {
+  token = other424.token;
   return *this;
 }
-flow_draining& flow_draining::operator=(flow_draining&& other345) noexcept {
-  token = other345.token;
+flow_draining& flow_draining::operator=(flow_draining&& other425) noexcept {
+  token = other425.token;
   return *this;
 }
 void flow_draining::printTo(std::ostream& out) const {
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -33,6 +33,12 @@
 
 class node;
 
+class route_backend;
+
+class route_former;
+
+class route_entry;
+
 class tombstone;
 
 class quarantine;
@@ -47,6 +53,10 @@
 
 class node_join;
 
+class replacement_route;
+
+class replacement;
+
 class change;
 
 class log_entry;
@@ -79,6 +89,12 @@
 
 class flow_unknown;
 
+class segment_forward;
+
+class segment_report;
+
+class segment_load;
+
 class vote_request;
 
 class vote_reply;
@@ -581,6 +597,165 @@
 std::ostream& operator<<(std::ostream& out, const node& obj);
 
 
+class route_backend {
+ public:
+
+  route_backend(const route_backend&) noexcept;
+  route_backend(route_backend&&) noexcept;
+  route_backend& operator=(const route_backend&) noexcept;
+  route_backend& operator=(route_backend&&) noexcept;
+  route_backend() noexcept
+                : service_id(0),
+                  weight(0) {
+  }
+
+  virtual ~route_backend() noexcept;
+  int64_t service_id;
+  int32_t weight;
+
+  void __set_service_id(const int64_t val);
+
+  void __set_weight(const int32_t val);
+
+  bool operator == (const route_backend & rhs) const
+  {
+    if (!(service_id == rhs.service_id))
+      return false;
+    if (!(weight == rhs.weight))
+      return false;
+    return true;
+  }
+  bool operator != (const route_backend &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const route_backend & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(route_backend &a, route_backend &b);
+
+std::ostream& operator<<(std::ostream& out, const route_backend& obj);
+
+
+class route_former {
+ public:
+
+  route_former(const route_former&) noexcept;
+  route_former(route_former&&) noexcept;
+  route_former& operator=(const route_former&) noexcept;
+  route_former& operator=(route_former&&) noexcept;
+  route_former() noexcept
+               : service_id(0),
+                 until_ms(0) {
+  }
+
+  virtual ~route_former() noexcept;
+  int64_t service_id;
+  int64_t until_ms;
+
+  void __set_service_id(const int64_t val);
+
+  void __set_until_ms(const int64_t val);
+
+  bool operator == (const route_former & rhs) const
+  {
+    if (!(service_id == rhs.service_id))
+      return false;
+    if (!(until_ms == rhs.until_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const route_former &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const route_former & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(route_former &a, route_former &b);
+
+std::ostream& operator<<(std::ostream& out, const route_former& obj);
+
+typedef struct _route_entry__isset {
+  _route_entry__isset() : formers(false) {}
+  bool formers :1;
+} _route_entry__isset;
+
+class route_entry {
+ public:
+
+  route_entry(const route_entry&);
+  route_entry(route_entry&&) noexcept;
+  route_entry& operator=(const route_entry&);
+  route_entry& operator=(route_entry&&) noexcept;
+  route_entry() noexcept
+              : id(0),
+                revision(0) {
+  }
+
+  virtual ~route_entry() noexcept;
+  int64_t id;
+  std::vector<route_backend>  backends;
+  int64_t revision;
+  std::vector<route_former>  formers;
+
+  _route_entry__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_backends(const std::vector<route_backend> & val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_formers(const std::vector<route_former> & val);
+
+  bool operator == (const route_entry & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(backends == rhs.backends))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (__isset.formers != rhs.__isset.formers)
+      return false;
+    else if (__isset.formers && !(formers == rhs.formers))
+      return false;
+    return true;
+  }
+  bool operator != (const route_entry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const route_entry & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(route_entry &a, route_entry &b);
+
+std::ostream& operator<<(std::ostream& out, const route_entry& obj);
+
+
 class tombstone {
  public:
 
@@ -987,14 +1162,117 @@
 
 std::ostream& operator<<(std::ostream& out, const node_join& obj);
 
+
+class replacement_route {
+ public:
+
+  replacement_route(const replacement_route&);
+  replacement_route(replacement_route&&) noexcept;
+  replacement_route& operator=(const replacement_route&);
+  replacement_route& operator=(replacement_route&&) noexcept;
+  replacement_route() noexcept {
+  }
+
+  virtual ~replacement_route() noexcept;
+  endpoint address;
+  std::vector<route_backend>  backends;
+
+  void __set_address(const endpoint& val);
+
+  void __set_backends(const std::vector<route_backend> & val);
+
+  bool operator == (const replacement_route & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(backends == rhs.backends))
+      return false;
+    return true;
+  }
+  bool operator != (const replacement_route &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const replacement_route & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(replacement_route &a, replacement_route &b);
+
+std::ostream& operator<<(std::ostream& out, const replacement_route& obj);
+
+
+class replacement {
+ public:
+
+  replacement(const replacement&);
+  replacement(replacement&&) noexcept;
+  replacement& operator=(const replacement&);
+  replacement& operator=(replacement&&) noexcept;
+  replacement() noexcept
+              : version(0),
+                document() {
+  }
+
+  virtual ~replacement() noexcept;
+  int64_t version;
+  std::vector<std::string>  services;
+  std::vector<replacement_route>  routes;
+  std::string document;
+
+  void __set_version(const int64_t val);
+
+  void __set_services(const std::vector<std::string> & val);
+
+  void __set_routes(const std::vector<replacement_route> & val);
+
+  void __set_document(const std::string& val);
+
+  bool operator == (const replacement & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(document == rhs.document))
+      return false;
+    return true;
+  }
+  bool operator != (const replacement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const replacement & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(replacement &a, replacement &b);
+
+std::ostream& operator<<(std::ostream& out, const replacement& obj);
+
 typedef struct _change__isset {
-  _change__isset() : new_patch(false), join_target(false), drain_target(false), leave_target(false), join_node(false), leave_node(false) {}
+  _change__isset() : new_patch(false), join_target(false), drain_target(false), leave_target(false), join_node(false), leave_node(false), replace(false) {}
   bool new_patch :1;
   bool join_target :1;
   bool drain_target :1;
   bool leave_target :1;
   bool join_node :1;
   bool leave_node :1;
+  bool replace :1;
 } _change__isset;
 
 class change {
@@ -1019,6 +1297,7 @@
   int64_t leave_target;
   node_join join_node;
   int64_t leave_node;
+  replacement replace;
 
   _change__isset __isset;
 
@@ -1036,6 +1315,8 @@
 
   void __set_leave_node(const int64_t val);
 
+  void __set_replace(const replacement& val);
+
   bool operator == (const change & rhs) const
   {
     if (!(time_ms == rhs.time_ms))
@@ -1064,6 +1345,10 @@
       return false;
     else if (__isset.leave_node && !(leave_node == rhs.leave_node))
       return false;
+    if (__isset.replace != rhs.__isset.replace)
+      return false;
+    else if (__isset.replace && !(replace == rhs.replace))
+      return false;
     return true;
   }
   bool operator != (const change &rhs) const {
@@ -1241,6 +1526,12 @@
 
 std::ostream& operator<<(std::ostream& out, const member_list& obj);
 
+typedef struct _table_snapshot__isset {
+  _table_snapshot__isset() : routes(false), document_version(false), document(false) {}
+  bool routes :1;
+  bool document_version :1;
+  bool document :1;
+} _table_snapshot__isset;
 
 class table_snapshot {
  public:
@@ -1253,7 +1544,9 @@
                  : revision(0),
                    config_version(0),
                    horizon(0),
-                   next_service(0) {
+                   next_service(0),
+                   document_version(0),
+                   document() {
   }
 
   virtual ~table_snapshot() noexcept;
@@ -1267,6 +1560,11 @@
   std::vector<tombstone>  tombstones;
   std::vector<patch_record>  patches;
   std::vector<quarantine>  quarantined;
+  std::vector<route_entry>  routes;
+  int64_t document_version;
+  std::string document;
+
+  _table_snapshot__isset __isset;
 
   void __set_revision(const int64_t val);
 
@@ -1288,6 +1586,12 @@
 
   void __set_quarantined(const std::vector<quarantine> & val);
 
+  void __set_routes(const std::vector<route_entry> & val);
+
+  void __set_document_version(const int64_t val);
+
+  void __set_document(const std::string& val);
+
   bool operator == (const table_snapshot & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -1310,6 +1614,18 @@
       return false;
     if (!(quarantined == rhs.quarantined))
       return false;
+    if (__isset.routes != rhs.__isset.routes)
+      return false;
+    else if (__isset.routes && !(routes == rhs.routes))
+      return false;
+    if (__isset.document_version != rhs.__isset.document_version)
+      return false;
+    else if (__isset.document_version && !(document_version == rhs.document_version))
+      return false;
+    if (__isset.document != rhs.__isset.document)
+      return false;
+    else if (__isset.document && !(document == rhs.document))
+      return false;
     return true;
   }
   bool operator != (const table_snapshot &rhs) const {
@@ -2032,6 +2348,202 @@
 std::ostream& operator<<(std::ostream& out, const flow_unknown& obj);
 
 
+class segment_forward {
+ public:
+
+  segment_forward(const segment_forward&);
+  segment_forward(segment_forward&&) noexcept;
+  segment_forward& operator=(const segment_forward&);
+  segment_forward& operator=(segment_forward&&) noexcept;
+  segment_forward() noexcept
+                  : packet(),
+                    service_key(0),
+                    purpose(0) {
+  }
+
+  virtual ~segment_forward() noexcept;
+  std::string packet;
+  int64_t service_key;
+  int8_t purpose;
+
+  void __set_packet(const std::string& val);
+
+  void __set_service_key(const int64_t val);
+
+  void __set_purpose(const int8_t val);
+
+  bool operator == (const segment_forward & rhs) const
+  {
+    if (!(packet == rhs.packet))
+      return false;
+    if (!(service_key == rhs.service_key))
+      return false;
+    if (!(purpose == rhs.purpose))
+      return false;
+    return true;
+  }
+  bool operator != (const segment_forward &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const segment_forward & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(segment_forward &a, segment_forward &b);
+
+std::ostream& operator<<(std::ostream& out, const segment_forward& obj);
+
+typedef struct _segment_report__isset {
+  _segment_report__isset() : sequence(false), reason(false), packet(false) {}
+  bool sequence :1;
+  bool reason :1;
+  bool packet :1;
+} _segment_report__isset;
+
+class segment_report {
+ public:
+
+  segment_report(const segment_report&);
+  segment_report(segment_report&&) noexcept;
+  segment_report& operator=(const segment_report&);
+  segment_report& operator=(segment_report&&) noexcept;
+  segment_report() noexcept
+                 : service_key(0),
+                   outcome(0),
+                   load_permille(0),
+                   sequence(0),
+                   reason(0),
+                   packet() {
+  }
+
+  virtual ~segment_report() noexcept;
+  flow_key key;
+  int64_t service_key;
+  int8_t outcome;
+  int32_t load_permille;
+  int32_t sequence;
+  int16_t reason;
+  std::string packet;
+
+  _segment_report__isset __isset;
+
+  void __set_key(const flow_key& val);
+
+  void __set_service_key(const int64_t val);
+
+  void __set_outcome(const int8_t val);
+
+  void __set_load_permille(const int32_t val);
+
+  void __set_sequence(const int32_t val);
+
+  void __set_reason(const int16_t val);
+
+  void __set_packet(const std::string& val);
+
+  bool operator == (const segment_report & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(service_key == rhs.service_key))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(load_permille == rhs.load_permille))
+      return false;
+    if (__isset.sequence != rhs.__isset.sequence)
+      return false;
+    else if (__isset.sequence && !(sequence == rhs.sequence))
+      return false;
+    if (__isset.reason != rhs.__isset.reason)
+      return false;
+    else if (__isset.reason && !(reason == rhs.reason))
+      return false;
+    if (__isset.packet != rhs.__isset.packet)
+      return false;
+    else if (__isset.packet && !(packet == rhs.packet))
+      return false;
+    return true;
+  }
+  bool operator != (const segment_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const segment_report & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(segment_report &a, segment_report &b);
+
+std::ostream& operator<<(std::ostream& out, const segment_report& obj);
+
+
+class segment_load {
+ public:
+
+  segment_load(const segment_load&) noexcept;
+  segment_load(segment_load&&) noexcept;
+  segment_load& operator=(const segment_load&) noexcept;
+  segment_load& operator=(segment_load&&) noexcept;
+  segment_load() noexcept
+               : service_key(0),
+                 load_permille(0),
+                 accepting(0) {
+  }
+
+  virtual ~segment_load() noexcept;
+  int64_t service_key;
+  int32_t load_permille;
+  bool accepting;
+
+  void __set_service_key(const int64_t val);
+
+  void __set_load_permille(const int32_t val);
+
+  void __set_accepting(const bool val);
+
+  bool operator == (const segment_load & rhs) const
+  {
+    if (!(service_key == rhs.service_key))
+      return false;
+    if (!(load_permille == rhs.load_permille))
+      return false;
+    if (!(accepting == rhs.accepting))
+      return false;
+    return true;
+  }
+  bool operator != (const segment_load &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const segment_load & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(segment_load &a, segment_load &b);
+
+std::ostream& operator<<(std::ostream& out, const segment_load& obj);
+
+
 class vote_request {
  public:
 
@@ -2560,6 +3072,10 @@
 
 std::ostream& operator<<(std::ostream& out, const cursor& obj);
 
+typedef struct _pull_request__isset {
+  _pull_request__isset() : parents(false) {}
+  bool parents :1;
+} _pull_request__isset;
 
 class pull_request {
  public:
@@ -2573,7 +3089,8 @@
                  nonce(0),
                  revision(0),
                  full(0),
-                 digest(0) {
+                 digest(0),
+                 parents(0) {
   }
 
   virtual ~pull_request() noexcept;
@@ -2583,6 +3100,9 @@
   cursor position;
   bool full;
   int64_t digest;
+  int64_t parents;
+
+  _pull_request__isset __isset;
 
   void __set_node(const int64_t val);
 
@@ -2596,6 +3116,8 @@
 
   void __set_digest(const int64_t val);
 
+  void __set_parents(const int64_t val);
+
   bool operator == (const pull_request & rhs) const
   {
     if (!(node == rhs.node))
@@ -2610,6 +3132,10 @@
       return false;
     if (!(digest == rhs.digest))
       return false;
+    if (__isset.parents != rhs.__isset.parents)
+      return false;
+    else if (__isset.parents && !(parents == rhs.parents))
+      return false;
     return true;
   }
   bool operator != (const pull_request &rhs) const {
@@ -2630,6 +3156,11 @@
 
 std::ostream& operator<<(std::ostream& out, const pull_request& obj);
 
+typedef struct _table_page__isset {
+  _table_page__isset() : routes(false), document_version(false) {}
+  bool routes :1;
+  bool document_version :1;
+} _table_page__isset;
 
 class table_page {
  public:
@@ -2643,7 +3174,8 @@
                config_version(0),
                full(0),
                complete(0),
-               digest(0) {
+               digest(0),
+               document_version(0) {
   }
 
   virtual ~table_page() noexcept;
@@ -2658,6 +3190,10 @@
   std::vector<target>  targets;
   std::vector<node>  nodes;
   std::vector<tombstone>  tombstones;
+  std::vector<route_entry>  routes;
+  int64_t document_version;
+
+  _table_page__isset __isset;
 
   void __set_revision(const int64_t val);
 
@@ -2681,6 +3217,10 @@
 
   void __set_tombstones(const std::vector<tombstone> & val);
 
+  void __set_routes(const std::vector<route_entry> & val);
+
+  void __set_document_version(const int64_t val);
+
   bool operator == (const table_page & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -2705,6 +3245,14 @@
       return false;
     if (!(tombstones == rhs.tombstones))
       return false;
+    if (__isset.routes != rhs.__isset.routes)
+      return false;
+    else if (__isset.routes && !(routes == rhs.routes))
+      return false;
+    if (__isset.document_version != rhs.__isset.document_version)
+      return false;
+    else if (__isset.document_version && !(document_version == rhs.document_version))
+      return false;
     return true;
   }
   bool operator != (const table_page &rhs) const {
@@ -2726,8 +3274,9 @@
 std::ostream& operator<<(std::ostream& out, const table_page& obj);
 
 typedef struct _pull_reply__isset {
-  _pull_reply__isset() : crowded(false) {}
+  _pull_reply__isset() : crowded(false), parents(false) {}
   bool crowded :1;
+  bool parents :1;
 } _pull_reply__isset;
 
 class pull_reply {
@@ -2748,6 +3297,7 @@
   int32_t age_ms;
   table_page page;
   bool crowded;
+  std::vector<endpoint>  parents;
 
   _pull_reply__isset __isset;
 
@@ -2759,6 +3309,8 @@
 
   void __set_crowded(const bool val);
 
+  void __set_parents(const std::vector<endpoint> & val);
+
   bool operator == (const pull_reply & rhs) const
   {
     if (!(nonce == rhs.nonce))
@@ -2771,6 +3323,10 @@
       return false;
     else if (__isset.crowded && !(crowded == rhs.crowded))
       return false;
+    if (__isset.parents != rhs.__isset.parents)
+      return false;
+    else if (__isset.parents && !(parents == rhs.parents))
+      return false;
     return true;
   }
   bool operator != (const pull_reply &rhs) const {
