--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -816,6 +816,299 @@
   return xfer;
 }
 
+template <class Protocol_>
+uint32_t route_backend::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_id = false;
+  bool isset_weight = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_id);
+          isset_service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->weight);
+          isset_weight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_weight)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t route_backend::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("route_backend");
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weight", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->weight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t route_former::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_id = false;
+  bool isset_until_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_id);
+          isset_service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->until_ms);
+          isset_until_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_until_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t route_former::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("route_former");
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("until_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->until_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t route_entry::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_backends = false;
+  bool isset_revision = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->backends.clear();
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->backends.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
+            {
+              xfer += this->backends[_i42].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_backends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->formers.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->formers.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += this->formers[_i47].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.formers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_backends)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t route_entry::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("route_entry");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backends", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->backends.size()));
+    std::vector<route_backend> ::const_iterator _iter48;
+    for (_iter48 = this->backends.begin(); _iter48 != this->backends.end(); ++_iter48)
+    {
+      xfer += (*_iter48).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.formers) {
+    xfer += oprot->writeFieldBegin("formers", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->formers.size()));
+      std::vector<route_former> ::const_iterator _iter49;
+      for (_iter49 = this->formers.begin(); _iter49 != this->formers.end(); ++_iter49)
+      {
+        xfer += (*_iter49).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 template <class Protocol_>
 uint32_t tombstone::read(Protocol_* iprot) {
 
@@ -1260,14 +1553,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->operations.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->operations.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->operations.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->operations[_i50].read(iprot);
+              xfer += this->operations[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1311,10 +1604,10 @@
   xfer += oprot->writeFieldBegin("operations", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->operations.size()));
-    std::vector<patch_operation> ::const_iterator _iter51;
-    for (_iter51 = this->operations.begin(); _iter51 != this->operations.end(); ++_iter51)
+    std::vector<patch_operation> ::const_iterator _iter75;
+    for (_iter75 = this->operations.begin(); _iter75 != this->operations.end(); ++_iter75)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1472,7 +1765,7 @@
 }
 
 template <class Protocol_>
-uint32_t change::read(Protocol_* iprot) {
+uint32_t replacement_route::read(Protocol_* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1484,7 +1777,8 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_time_ms = false;
+  bool isset_address = false;
+  bool isset_backends = false;
 
   while (true)
   {
@@ -1495,18 +1789,257 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->time_ms);
-          isset_time_ms = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          isset_address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->new_patch.read(iprot);
-          this->__isset.new_patch = true;
-        } else {
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->backends.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->backends.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              xfer += this->backends[_i92].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_backends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_backends)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t replacement_route::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("replacement_route");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backends", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->backends.size()));
+    std::vector<route_backend> ::const_iterator _iter93;
+    for (_iter93 = this->backends.begin(); _iter93 != this->backends.end(); ++_iter93)
+    {
+      xfer += (*_iter93).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t replacement::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_version = false;
+  bool isset_services = false;
+  bool isset_routes = false;
+  bool isset_document = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->services.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
+            {
+              xfer += iprot->readString(this->services[_i102]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->routes.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
+            {
+              xfer += this->routes[_i107].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->document);
+          isset_document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_services)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_routes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_document)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t replacement::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("replacement");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
+    std::vector<std::string> ::const_iterator _iter108;
+    for (_iter108 = this->services.begin(); _iter108 != this->services.end(); ++_iter108)
+    {
+      xfer += oprot->writeString((*_iter108));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<replacement_route> ::const_iterator _iter109;
+    for (_iter109 = this->routes.begin(); _iter109 != this->routes.end(); ++_iter109)
+    {
+      xfer += (*_iter109).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t change::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_time_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->time_ms);
+          isset_time_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->new_patch.read(iprot);
+          this->__isset.new_patch = true;
+        } else {
           xfer += iprot->skip(ftype);
         }
         break;
@@ -1550,6 +2083,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->replace.read(iprot);
+          this->__isset.replace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1604,6 +2145,11 @@
     xfer += oprot->writeI64(this->leave_node);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.replace) {
+    xfer += oprot->writeFieldBegin("replace", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->replace.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1846,14 +2392,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->members.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->members.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += this->members[_i80].read(iprot);
+              xfer += this->members[_i130].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1885,10 +2431,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<member> ::const_iterator _iter81;
-    for (_iter81 = this->members.begin(); _iter81 != this->members.end(); ++_iter81)
+    std::vector<member> ::const_iterator _iter131;
+    for (_iter131 = this->members.begin(); _iter131 != this->members.end(); ++_iter131)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter131).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1967,14 +2513,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->services.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->services.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += this->services[_i90].read(iprot);
+              xfer += this->services[_i140].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1987,14 +2533,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->targets.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->targets.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += this->targets[_i95].read(iprot);
+              xfer += this->targets[_i145].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2007,14 +2553,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->nodes.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->nodes.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += this->nodes[_i100].read(iprot);
+              xfer += this->nodes[_i150].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2027,14 +2573,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tombstones.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->tombstones.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->tombstones.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += this->tombstones[_i105].read(iprot);
+              xfer += this->tombstones[_i155].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2047,14 +2593,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->patches.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->patches.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->patches.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->patches[_i110].read(iprot);
+              xfer += this->patches[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2067,14 +2613,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->quarantined.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->quarantined.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += this->quarantined[_i115].read(iprot);
+              xfer += this->quarantined[_i165].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2083,6 +2629,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->routes.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
+            {
+              xfer += this->routes[_i170].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_version);
+          this->__isset.document_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2140,10 +2722,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<service_entry> ::const_iterator _iter116;
-    for (_iter116 = this->services.begin(); _iter116 != this->services.end(); ++_iter116)
+    std::vector<service_entry> ::const_iterator _iter171;
+    for (_iter171 = this->services.begin(); _iter171 != this->services.end(); ++_iter171)
     {
-      xfer += (*_iter116).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2152,10 +2734,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<target> ::const_iterator _iter117;
-    for (_iter117 = this->targets.begin(); _iter117 != this->targets.end(); ++_iter117)
+    std::vector<target> ::const_iterator _iter172;
+    for (_iter172 = this->targets.begin(); _iter172 != this->targets.end(); ++_iter172)
     {
-      xfer += (*_iter117).write(oprot);
+      xfer += (*_iter172).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2164,10 +2746,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<node> ::const_iterator _iter118;
-    for (_iter118 = this->nodes.begin(); _iter118 != this->nodes.end(); ++_iter118)
+    std::vector<node> ::const_iterator _iter173;
+    for (_iter173 = this->nodes.begin(); _iter173 != this->nodes.end(); ++_iter173)
     {
-      xfer += (*_iter118).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2176,10 +2758,10 @@
   xfer += oprot->writeFieldBegin("tombstones", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tombstones.size()));
-    std::vector<tombstone> ::const_iterator _iter119;
-    for (_iter119 = this->tombstones.begin(); _iter119 != this->tombstones.end(); ++_iter119)
+    std::vector<tombstone> ::const_iterator _iter174;
+    for (_iter174 = this->tombstones.begin(); _iter174 != this->tombstones.end(); ++_iter174)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter174).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2188,10 +2770,10 @@
   xfer += oprot->writeFieldBegin("patches", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->patches.size()));
-    std::vector<patch_record> ::const_iterator _iter120;
-    for (_iter120 = this->patches.begin(); _iter120 != this->patches.end(); ++_iter120)
+    std::vector<patch_record> ::const_iterator _iter175;
+    for (_iter175 = this->patches.begin(); _iter175 != this->patches.end(); ++_iter175)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2200,15 +2782,38 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<quarantine> ::const_iterator _iter121;
-    for (_iter121 = this->quarantined.begin(); _iter121 != this->quarantined.end(); ++_iter121)
+    std::vector<quarantine> ::const_iterator _iter176;
+    for (_iter176 = this->quarantined.begin(); _iter176 != this->quarantined.end(); ++_iter176)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter176).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.routes) {
+    xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 11);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+      std::vector<route_entry> ::const_iterator _iter177;
+      for (_iter177 = this->routes.begin(); _iter177 != this->routes.end(); ++_iter177)
+      {
+        xfer += (*_iter177).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document_version) {
+    xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->document_version);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 13);
+    xfer += oprot->writeBinary(this->document);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2791,14 +3396,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->flows.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->flows.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->flows.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->flows[_i150].read(iprot);
+              xfer += this->flows[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2876,10 +3481,10 @@
   xfer += oprot->writeFieldBegin("flows", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->flows.size()));
-    std::vector<flow_key> ::const_iterator _iter151;
-    for (_iter151 = this->flows.begin(); _iter151 != this->flows.end(); ++_iter151)
+    std::vector<flow_key> ::const_iterator _iter207;
+    for (_iter207 = this->flows.begin(); _iter207 != this->flows.end(); ++_iter207)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter207).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3053,42 +3658,370 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->owner);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reply_to", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->reply_to.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load_permille", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->load_permille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->payload);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("balancer", ::apache::thrift::protocol::T_STRUCT, 9);
+  xfer += this->balancer.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.offer_id) {
+    xfer += oprot->writeFieldBegin("offer_id", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->offer_id);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t place_reply::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_service_id = false;
+  bool isset_holder = false;
+  bool isset_accepted = false;
+  bool isset_reason = false;
+  bool isset_load_permille = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_id);
+          isset_service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->holder);
+          isset_holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepted);
+          isset_accepted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->reason);
+          isset_reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->load_permille);
+          isset_load_permille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offer_id);
+          this->__isset.offer_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_service_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_holder)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_accepted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_reason)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_load_permille)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t place_reply::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("place_reply");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->accepted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I16, 5);
+  xfer += oprot->writeI16(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load_permille", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->load_permille);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.offer_id) {
+    xfer += oprot->writeFieldBegin("offer_id", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->offer_id);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t flow_closed::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_service_id = false;
+  bool isset_holder = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_id);
+          isset_service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->holder);
+          isset_holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_service_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_holder)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t flow_closed::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("flow_closed");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t load_report::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_id = false;
+  bool isset_holder = false;
+  bool isset_load_permille = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_id);
+          isset_service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->holder);
+          isset_holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->load_permille);
+          isset_load_permille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_holder)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_load_permille)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t load_report::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("load_report");
 
-  xfer += oprot->writeFieldBegin("reply_to", ::apache::thrift::protocol::T_STRUCT, 5);
-  xfer += this->reply_to.write(oprot);
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->service_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->holder);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("load_permille", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeFieldBegin("load_permille", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->load_permille);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeBinary(this->payload);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("balancer", ::apache::thrift::protocol::T_STRUCT, 9);
-  xfer += this->balancer.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  if (this->__isset.offer_id) {
-    xfer += oprot->writeFieldBegin("offer_id", ::apache::thrift::protocol::T_I64, 10);
-    xfer += oprot->writeI64(this->offer_id);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
 template <class Protocol_>
-uint32_t place_reply::read(Protocol_* iprot) {
+uint32_t flow_unknown::read(Protocol_* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3103,9 +4036,6 @@
   bool isset_key = false;
   bool isset_service_id = false;
   bool isset_holder = false;
-  bool isset_accepted = false;
-  bool isset_reason = false;
-  bool isset_load_permille = false;
 
   while (true)
   {
@@ -3139,38 +4069,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->accepted);
-          isset_accepted = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I16) {
-          xfer += iprot->readI16(this->reason);
-          isset_reason = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->load_permille);
-          isset_load_permille = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->offer_id);
-          this->__isset.offer_id = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3186,20 +4084,14 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_holder)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_accepted)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_reason)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_load_permille)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
 template <class Protocol_>
-uint32_t place_reply::write(Protocol_* oprot) const {
+uint32_t flow_unknown::write(Protocol_* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("place_reply");
+  xfer += oprot->writeStructBegin("flow_unknown");
 
   xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->key.write(oprot);
@@ -3213,30 +4105,13 @@
   xfer += oprot->writeI64(this->holder);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->accepted);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I16, 5);
-  xfer += oprot->writeI16(this->reason);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("load_permille", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->load_permille);
-  xfer += oprot->writeFieldEnd();
-
-  if (this->__isset.offer_id) {
-    xfer += oprot->writeFieldBegin("offer_id", ::apache::thrift::protocol::T_I64, 7);
-    xfer += oprot->writeI64(this->offer_id);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
 template <class Protocol_>
-uint32_t flow_closed::read(Protocol_* iprot) {
+uint32_t segment_forward::read(Protocol_* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3248,9 +4123,9 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_key = false;
-  bool isset_service_id = false;
-  bool isset_holder = false;
+  bool isset_packet = false;
+  bool isset_service_key = false;
+  bool isset_purpose = false;
 
   while (true)
   {
@@ -3261,25 +4136,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->key.read(iprot);
-          isset_key = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packet);
+          isset_packet = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->service_id);
-          isset_service_id = true;
+          xfer += iprot->readI64(this->service_key);
+          isset_service_key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->holder);
-          isset_holder = true;
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->purpose);
+          isset_purpose = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3293,31 +4168,31 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_key)
+  if (!isset_packet)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_service_id)
+  if (!isset_service_key)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_holder)
+  if (!isset_purpose)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
 template <class Protocol_>
-uint32_t flow_closed::write(Protocol_* oprot) const {
+uint32_t segment_forward::write(Protocol_* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("flow_closed");
+  xfer += oprot->writeStructBegin("segment_forward");
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldBegin("packet", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->packet);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->service_id);
+  xfer += oprot->writeFieldBegin("service_key", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->service_key);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->holder);
+  xfer += oprot->writeFieldBegin("purpose", ::apache::thrift::protocol::T_BYTE, 3);
+  xfer += oprot->writeByte(this->purpose);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3326,7 +4201,7 @@
 }
 
 template <class Protocol_>
-uint32_t load_report::read(Protocol_* iprot) {
+uint32_t segment_report::read(Protocol_* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3338,8 +4213,9 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_service_id = false;
-  bool isset_holder = false;
+  bool isset_key = false;
+  bool isset_service_key = false;
+  bool isset_outcome = false;
   bool isset_load_permille = false;
 
   while (true)
@@ -3351,29 +4227,61 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->service_id);
-          isset_service_id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          isset_key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->holder);
-          isset_holder = true;
+          xfer += iprot->readI64(this->service_key);
+          isset_service_key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->load_permille);
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->outcome);
+          isset_outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->load_permille);
           isset_load_permille = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packet);
+          this->__isset.packet = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3383,9 +4291,11 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_service_id)
+  if (!isset_key)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_holder)
+  if (!isset_service_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_outcome)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_load_permille)
     throw TProtocolException(TProtocolException::INVALID_DATA);
@@ -3393,30 +4303,49 @@
 }
 
 template <class Protocol_>
-uint32_t load_report::write(Protocol_* oprot) const {
+uint32_t segment_report::write(Protocol_* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("load_report");
+  xfer += oprot->writeStructBegin("segment_report");
 
-  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->service_id);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->holder);
+  xfer += oprot->writeFieldBegin("service_key", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->service_key);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("load_permille", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->load_permille);
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_BYTE, 3);
+  xfer += oprot->writeByte(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load_permille", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->load_permille);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.sequence) {
+    xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->sequence);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.reason) {
+    xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I16, 6);
+    xfer += oprot->writeI16(this->reason);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.packet) {
+    xfer += oprot->writeFieldBegin("packet", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeBinary(this->packet);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
 template <class Protocol_>
-uint32_t flow_unknown::read(Protocol_* iprot) {
+uint32_t segment_load::read(Protocol_* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3428,9 +4357,9 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_key = false;
-  bool isset_service_id = false;
-  bool isset_holder = false;
+  bool isset_service_key = false;
+  bool isset_load_permille = false;
+  bool isset_accepting = false;
 
   while (true)
   {
@@ -3441,25 +4370,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->key.read(iprot);
-          isset_key = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_key);
+          isset_service_key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->service_id);
-          isset_service_id = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->load_permille);
+          isset_load_permille = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->holder);
-          isset_holder = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepting);
+          isset_accepting = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3473,31 +4402,31 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_key)
+  if (!isset_service_key)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_service_id)
+  if (!isset_load_permille)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_holder)
+  if (!isset_accepting)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
 template <class Protocol_>
-uint32_t flow_unknown::write(Protocol_* oprot) const {
+uint32_t segment_load::write(Protocol_* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("flow_unknown");
+  xfer += oprot->writeStructBegin("segment_load");
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldBegin("service_key", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->service_key);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->service_id);
+  xfer += oprot->writeFieldBegin("load_permille", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->load_permille);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->holder);
+  xfer += oprot->writeFieldBegin("accepting", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->accepting);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3827,14 +4756,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size184;
-            ::apache::thrift::protocol::TType _etype187;
-            xfer += iprot->readListBegin(_etype187, _size184);
-            this->entries.resize(_size184);
-            uint32_t _i188;
-            for (_i188 = 0; _i188 < _size184; ++_i188)
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->entries.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
             {
-              xfer += this->entries[_i188].read(iprot);
+              xfer += this->entries[_i256].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3912,10 +4841,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<log_entry> ::const_iterator _iter189;
-    for (_iter189 = this->entries.begin(); _iter189 != this->entries.end(); ++_iter189)
+    std::vector<log_entry> ::const_iterator _iter257;
+    for (_iter257 = this->entries.begin(); _iter257 != this->entries.end(); ++_iter257)
     {
-      xfer += (*_iter189).write(oprot);
+      xfer += (*_iter257).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4591,6 +5520,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->parents);
+          this->__isset.parents = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4645,6 +5582,11 @@
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.parents) {
+    xfer += oprot->writeFieldBegin("parents", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->parents);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4743,14 +5685,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->services.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size286;
+            ::apache::thrift::protocol::TType _etype289;
+            xfer += iprot->readListBegin(_etype289, _size286);
+            this->services.resize(_size286);
+            uint32_t _i290;
+            for (_i290 = 0; _i290 < _size286; ++_i290)
             {
-              xfer += this->services[_i222].read(iprot);
+              xfer += this->services[_i290].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4763,14 +5705,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->targets.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size291;
+            ::apache::thrift::protocol::TType _etype294;
+            xfer += iprot->readListBegin(_etype294, _size291);
+            this->targets.resize(_size291);
+            uint32_t _i295;
+            for (_i295 = 0; _i295 < _size291; ++_i295)
             {
-              xfer += this->targets[_i227].read(iprot);
+              xfer += this->targets[_i295].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4783,14 +5725,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->nodes.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->nodes.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
             {
-              xfer += this->nodes[_i232].read(iprot);
+              xfer += this->nodes[_i300].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4803,14 +5745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tombstones.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->tombstones.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size301;
+            ::apache::thrift::protocol::TType _etype304;
+            xfer += iprot->readListBegin(_etype304, _size301);
+            this->tombstones.resize(_size301);
+            uint32_t _i305;
+            for (_i305 = 0; _i305 < _size301; ++_i305)
             {
-              xfer += this->tombstones[_i237].read(iprot);
+              xfer += this->tombstones[_i305].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4819,6 +5761,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size306;
+            ::apache::thrift::protocol::TType _etype309;
+            xfer += iprot->readListBegin(_etype309, _size306);
+            this->routes.resize(_size306);
+            uint32_t _i310;
+            for (_i310 = 0; _i310 < _size306; ++_i310)
+            {
+              xfer += this->routes[_i310].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_version);
+          this->__isset.document_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4890,10 +5860,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<service_entry> ::const_iterator _iter238;
-    for (_iter238 = this->services.begin(); _iter238 != this->services.end(); ++_iter238)
+    std::vector<service_entry> ::const_iterator _iter311;
+    for (_iter311 = this->services.begin(); _iter311 != this->services.end(); ++_iter311)
     {
-      xfer += (*_iter238).write(oprot);
+      xfer += (*_iter311).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4902,10 +5872,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<target> ::const_iterator _iter239;
-    for (_iter239 = this->targets.begin(); _iter239 != this->targets.end(); ++_iter239)
+    std::vector<target> ::const_iterator _iter312;
+    for (_iter312 = this->targets.begin(); _iter312 != this->targets.end(); ++_iter312)
     {
-      xfer += (*_iter239).write(oprot);
+      xfer += (*_iter312).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4914,10 +5884,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<node> ::const_iterator _iter240;
-    for (_iter240 = this->nodes.begin(); _iter240 != this->nodes.end(); ++_iter240)
+    std::vector<node> ::const_iterator _iter313;
+    for (_iter313 = this->nodes.begin(); _iter313 != this->nodes.end(); ++_iter313)
     {
-      xfer += (*_iter240).write(oprot);
+      xfer += (*_iter313).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4926,15 +5896,33 @@
   xfer += oprot->writeFieldBegin("tombstones", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tombstones.size()));
-    std::vector<tombstone> ::const_iterator _iter241;
-    for (_iter241 = this->tombstones.begin(); _iter241 != this->tombstones.end(); ++_iter241)
+    std::vector<tombstone> ::const_iterator _iter314;
+    for (_iter314 = this->tombstones.begin(); _iter314 != this->tombstones.end(); ++_iter314)
     {
-      xfer += (*_iter241).write(oprot);
+      xfer += (*_iter314).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.routes) {
+    xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 12);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+      std::vector<route_entry> ::const_iterator _iter315;
+      for (_iter315 = this->routes.begin(); _iter315 != this->routes.end(); ++_iter315)
+      {
+        xfer += (*_iter315).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document_version) {
+    xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->document_version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4997,6 +5985,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parents.clear();
+            uint32_t _size320;
+            ::apache::thrift::protocol::TType _etype323;
+            xfer += iprot->readListBegin(_etype323, _size320);
+            this->parents.resize(_size320);
+            uint32_t _i324;
+            for (_i324 = 0; _i324 < _size320; ++_i324)
+            {
+              xfer += this->parents[_i324].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parents = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5038,6 +6046,19 @@
     xfer += oprot->writeBool(this->crowded);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.parents) {
+    xfer += oprot->writeFieldBegin("parents", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parents.size()));
+      std::vector<endpoint> ::const_iterator _iter325;
+      for (_iter325 = this->parents.begin(); _iter325 != this->parents.end(); ++_iter325)
+      {
+        xfer += (*_iter325).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5582,14 +6603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->children.clear();
-            uint32_t _size266;
-            ::apache::thrift::protocol::TType _etype269;
-            xfer += iprot->readListBegin(_etype269, _size266);
-            this->children.resize(_size266);
-            uint32_t _i270;
-            for (_i270 = 0; _i270 < _size266; ++_i270)
+            uint32_t _size346;
+            ::apache::thrift::protocol::TType _etype349;
+            xfer += iprot->readListBegin(_etype349, _size346);
+            this->children.resize(_size346);
+            uint32_t _i350;
+            for (_i350 = 0; _i350 < _size346; ++_i350)
             {
-              xfer += this->children[_i270].read(iprot);
+              xfer += this->children[_i350].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5665,10 +6686,10 @@
   xfer += oprot->writeFieldBegin("children", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->children.size()));
-    std::vector<child_report> ::const_iterator _iter271;
-    for (_iter271 = this->children.begin(); _iter271 != this->children.end(); ++_iter271)
+    std::vector<child_report> ::const_iterator _iter351;
+    for (_iter351 = this->children.begin(); _iter351 != this->children.end(); ++_iter351)
     {
-      xfer += (*_iter271).write(oprot);
+      xfer += (*_iter351).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6467,14 +7488,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size304;
-            ::apache::thrift::protocol::TType _etype307;
-            xfer += iprot->readListBegin(_etype307, _size304);
-            this->missing.resize(_size304);
-            uint32_t _i308;
-            for (_i308 = 0; _i308 < _size304; ++_i308)
+            uint32_t _size384;
+            ::apache::thrift::protocol::TType _etype387;
+            xfer += iprot->readListBegin(_etype387, _size384);
+            this->missing.resize(_size384);
+            uint32_t _i388;
+            for (_i388 = 0; _i388 < _size384; ++_i388)
             {
-              xfer += iprot->readI32(this->missing[_i308]);
+              xfer += iprot->readI32(this->missing[_i388]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6518,10 +7539,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->missing.size()));
-    std::vector<int32_t> ::const_iterator _iter309;
-    for (_iter309 = this->missing.begin(); _iter309 != this->missing.end(); ++_iter309)
+    std::vector<int32_t> ::const_iterator _iter389;
+    for (_iter389 = this->missing.begin(); _iter389 != this->missing.end(); ++_iter389)
     {
-      xfer += oprot->writeI32((*_iter309));
+      xfer += oprot->writeI32((*_iter389));
     }
     xfer += oprot->writeListEnd();
   }
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -63,7 +63,27 @@
   6: required i64 revision
 }
 
-// One removed object. `kind`: 1 service, 2 target, 3 node.
+// One service that new flows to an address may go to, with its share among those of the address.
+struct route_backend {
+  1: required i64 service_id
+  2: required i32 weight
+}
+
+// A service that took new flows to an address until lately, and may hold open ones until `until_ms`.
+struct route_former {
+  1: required i64 service_id
+  2: required i64 until_ms
+}
+
+// Where new flows to one address go. `id` is the address times 2^16 plus the port.
+struct route_entry {
+  1: required i64 id
+  2: required list<route_backend> backends
+  3: required i64 revision
+  4: optional list<route_former> formers
+}
+
+// One removed object. `kind`: 1 service, 2 target, 3 node, 4 route.
 struct tombstone {
   1: required i8 kind
   2: required i64 id
@@ -112,6 +132,20 @@
   2: optional i64 replaces
 }
 
+// Backends name services by their place in `replacement.services`.
+struct replacement_route {
+  1: required endpoint address
+  2: required list<route_backend> backends
+}
+
+// A whole description under a version that its author chose; the highest version wins.
+struct replacement {
+  1: required i64 version
+  2: required list<string> services
+  3: required list<replacement_route> routes
+  4: required binary document   // as the author sent it, compressed
+}
+
 // One change of the table; exactly one field besides `time_ms` is set.
 struct change {
   1: required i64 time_ms
@@ -121,6 +155,7 @@
   5: optional i64 leave_target
   6: optional node_join join_node
   7: optional i64 leave_node
+  8: optional replacement replace
 }
 
 // `kind`: 0 no-op, 1 change, 2 members of control.
@@ -154,6 +189,9 @@
   8: required list<tombstone> tombstones
   9: required list<patch_record> patches
   10: required list<quarantine> quarantined
+  11: optional list<route_entry> routes
+  12: optional i64 document_version
+  13: optional binary document
 }
 
 // ---- Data path (kinds 1 to 19) ---------------------------------------------------------------------
@@ -249,6 +287,33 @@
   3: required i64 holder
 }
 
+// Balancer to agent: one packet of a flow whose ends are transport stacks.
+// `purpose`: 1 the receiver is believed to hold the flow, 2 a new flow is placed, 3 deliver only if held.
+struct segment_forward {
+  1: required binary packet     // as its sender wrote it
+  2: required i64 service_key       // hash of the service's name
+  3: required i8 purpose
+}
+
+// Agent to balancer: what became of a segment.
+// `outcome`: 1 the target offers to take the flow, 2 held here, 3 declined, 4 not held here.
+struct segment_report {
+  1: required flow_key key
+  2: required i64 service_key
+  3: required i8 outcome
+  4: required i32 load_permille // of the target, 1000 for each slot in use
+  5: optional i32 sequence      // first sequence number of the target, with outcome 1
+  6: optional i16 reason        // error_code, with outcome 3
+  7: optional binary packet     // the segment, with outcomes 3 and 4 unless it was a search
+}
+
+// Agent to the balancers that sent segments lately.
+struct segment_load {
+  1: required i64 service_key
+  2: required i32 load_permille
+  3: required bool accepting
+}
+
 // ---- Control (kinds 40 to 79) -----------------------------------------------------------------------
 
 struct vote_request {
@@ -326,6 +391,7 @@
   4: required cursor position   // held, staged pages included
   5: required bool full         // the staged pages belong to a full table
   6: required i64 digest        // of the applied table
+  7: optional i64 parents       // digest of the known parents
 }
 
 struct table_page {
@@ -340,6 +406,8 @@
   9: required list<target> targets
   10: required list<node> nodes
   11: required list<tombstone> tombstones
+  12: optional list<route_entry> routes
+  13: optional i64 document_version
 }
 
 struct pull_reply {
@@ -347,6 +415,7 @@
   2: required i32 age_ms        // since the sender heard of a leader with a quorum
   3: required table_page page
   4: optional bool crowded      // the sender has too many children; try another parent
+  5: optional list<endpoint> parents  // all control processes, if the node knows others
 }
 
 struct change_notice {
