--- /dev/null
+++ b/src/cmake/unit_tests.cmake
@@ -0,0 +1,16 @@
+# Builds one test program per test file, so that a crash or a time-out names its file, linked with `library`.
+function(add_unit_tests library)
+  if(NOT PERIDOTCLEAT_TESTS)
+    return()
+  endif()
+  foreach(source ${ARGN})
+    get_filename_component(name ${source} NAME_WE)
+    add_executable(${name} ${source})
+    target_link_libraries(${name} PRIVATE ${library} peridotcleat_warnings GTest::gtest_main rapidcheck)
+    target_include_directories(${name} SYSTEM PRIVATE /usr/include/rapidcheck)
+    target_compile_definitions(${name} PRIVATE PERIDOTCLEAT_EXAMPLES="${PROJECT_SOURCE_DIR}/examples")
+    add_test(NAME ${name} COMMAND ${name})
+    # RapidCheck picks a random seed unless told; a fixed one makes each run give the same verdict.
+    set_tests_properties(${name} PROPERTIES TIMEOUT 240 ENVIRONMENT "RC_PARAMS=seed=20261204")
+  endforeach()
+endfunction()
--- /dev/null
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -0,0 +1,267 @@
+#include "peridotcleat/segment_balancer.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "testing/fake_segments.h"
+
+namespace peridotcleat {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::decode_fake;
+using testing::fake_packet;
+
+constexpr endpoint route{0xc6120001, 443};
+constexpr endpoint agent_a{0x0a010001, 7000};
+constexpr endpoint agent_b{0x0a020001, 7000};
+constexpr endpoint agent_c{0x0a020002, 7000};
+
+wire::replacement description(std::int64_t version, const std::string& service)
+{
+    wire::replacement r;
+    r.version = version;
+    r.services = {"live", "chart"};
+    wire::replacement_route to;
+    to.address = to_wire(route);
+    wire::route_backend b;
+    b.service_id = service == "live" ? 0 : 1;
+    b.weight = 1;
+    to.backends.push_back(b);
+    r.routes.push_back(to);
+    return r;
+}
+
+class segment_balancer_test : public ::testing::Test {
+protected:
+    segment_balancer_test() { replace(1, "live"); }
+
+    void replace(std::int64_t version, const std::string& service)
+    {
+        wire::change c;
+        c.time_ms = 1000 * version;
+        c.__set_replace(description(version, service));
+        table.apply(revision{++revision_}, c);
+        renew();
+    }
+
+    void join(const endpoint& agent, const std::string& zone, const std::string& service)
+    {
+        wire::change c;
+        wire::target_join j;
+        j.value.service_id = table.find_service(service)->value;
+        j.value.agent = to_wire(agent);
+        j.value.zone = zone;
+        j.value.slots = 4;
+        j.value.connections = 2000;
+        j.value.nonce = agent.address;
+        j.value.name = to_string(agent);
+        c.__set_join_target(j);
+        table.apply(revision{++revision_}, c);
+        renew();
+    }
+
+    void renew() { balancer.set_routes(flow_routes::build(table)); }
+
+    segment from_caller(std::uint16_t port) const
+    {
+        segment s;
+        s.key = {{0x64400001, port}, route};
+        return s;
+    }
+
+    void open(std::uint16_t port)
+    {
+        segment s = from_caller(port);
+        s.opens = true;
+        balancer.on_packet(now, fake_packet(s), age, out);
+    }
+
+    void send(std::uint16_t port, std::uint32_t acknowledged)
+    {
+        segment s = from_caller(port);
+        s.acknowledges = true;
+        s.acknowledged = acknowledged;
+        balancer.on_packet(now, fake_packet(s, "data"), age, out);
+    }
+
+    void report(const endpoint& from, std::uint16_t port, segment_outcome outcome, std::int32_t sequence = 0,
+                error_code reason = error_code::ok, const std::string& packet = {})
+    {
+        wire::segment_report r;
+        r.key = to_wire(from_caller(port).key);
+        r.service_key = service_key("live");
+        r.outcome = static_cast<std::int8_t>(outcome);
+        r.load_permille = 0;
+        r.__set_sequence(sequence);
+        if (reason != error_code::ok) {
+            r.__set_reason(static_cast<std::int16_t>(reason));
+        }
+        if (!packet.empty()) {
+            r.__set_packet(packet);
+        }
+        balancer.on_message(now, from, r, out);
+    }
+
+    // Where the segments of `purpose` went since the last call.
+    std::vector<endpoint> sent(segment_purpose purpose)
+    {
+        std::vector<endpoint> to;
+        for (const send_action& s : out.sends) {
+            if (std::get<wire::segment_forward>(s.body).purpose == static_cast<std::int8_t>(purpose)) {
+                to.push_back(s.to);
+            }
+        }
+        out.clear();
+        return to;
+    }
+
+    std::size_t resets() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            out.packets, [](const packet_send& p) { return decode_fake(p.packet)->resets; }));
+    }
+
+    std::int64_t revision_ = 0;
+    table_state table;
+    counters counted;
+    segment_balancer balancer{{"zone-a", 8172, testing::fake_format}, counted};
+    outbox out;
+    time_point now{std::chrono::seconds(100)};
+    milliseconds age{100};
+};
+
+using targets = std::vector<endpoint>;
+
+// Guards against a choice of a distant target while one in the zone has room, and of the near one when it is
+// full.
+TEST_F(segment_balancer_test, places_near_unless_the_near_target_is_much_busier)
+{
+    join(agent_b, "zone-b", "live");
+    join(agent_a, "zone-a", "live");
+    open(1);
+    EXPECT_EQ(sent(segment_purpose::place), targets{agent_a});
+    wire::segment_load busy;
+    busy.service_key = service_key("live");
+    busy.load_permille = 8000;
+    busy.accepting = true;
+    balancer.on_message(now, agent_a, busy, out);
+    open(2);
+    EXPECT_EQ(sent(segment_purpose::place), targets{agent_b});
+}
+
+// Guards against a caller that waits for a dead target: each copy of its opening packet goes to another one.
+TEST_F(segment_balancer_test, copies_of_an_opening_packet_go_to_further_targets)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    open(1);
+    now += milliseconds(200);
+    open(1);
+    EXPECT_EQ(sent(segment_purpose::place), (targets{agent_a, agent_b}));
+    // The dead one is avoided from now on.
+    open(2);
+    EXPECT_EQ(sent(segment_purpose::place), targets{agent_b});
+}
+
+// Guards against packets at the wrong target when two targets have offered to take the flow.
+TEST_F(segment_balancer_test, the_acknowledged_sequence_names_the_holder)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    open(1);
+    now += milliseconds(200);
+    open(1);
+    report(agent_a, 1, segment_outcome::offered, 1'000'000);
+    report(agent_b, 1, segment_outcome::offered, -5);
+    out.clear();
+    send(1, 0xfffffffcU);
+    EXPECT_EQ(sent(segment_purpose::held), targets{agent_b});
+}
+
+// Guards against a caller that waits after every target has refused.
+TEST_F(segment_balancer_test, a_declined_flow_goes_on_and_is_reset_when_nobody_is_left)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    segment s = from_caller(1);
+    s.opens = true;
+    open(1);
+    out.clear();
+    report(agent_a, 1, segment_outcome::declined, 0, error_code::draining, fake_packet(s));
+    EXPECT_EQ(sent(segment_purpose::place), targets{agent_b});
+    report(agent_b, 1, segment_outcome::declined, 0, error_code::shed_by_upstream, fake_packet(s));
+    EXPECT_EQ(resets(), 1U);
+}
+
+// Guards against the loss of open flows when the router moves them to a balancer that does not know them.
+TEST_F(segment_balancer_test, an_unknown_flow_is_searched_for_and_found)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    send(1, 77);
+    EXPECT_EQ(sent(segment_purpose::search).size(), 2U);
+    send(1, 77);
+    EXPECT_TRUE(out.sends.empty());
+    report(agent_b, 1, segment_outcome::held);
+    EXPECT_EQ(sent(segment_purpose::held), targets{agent_b});
+    send(1, 78);
+    EXPECT_EQ(sent(segment_purpose::held), targets{agent_b});
+}
+
+// Guards against a reset of a flow that is open: one target is silent, or the table is old.
+TEST_F(segment_balancer_test, a_flow_is_reset_only_if_every_target_of_a_fresh_table_lacks_it)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    send(1, 77);
+    report(agent_a, 1, segment_outcome::absent);
+    EXPECT_EQ(resets(), 0U);
+    age = std::chrono::seconds(5);
+    send(2, 77);
+    report(agent_a, 2, segment_outcome::absent);
+    report(agent_b, 2, segment_outcome::absent);
+    EXPECT_EQ(resets(), 0U);
+    age = milliseconds(100);
+    send(3, 77);
+    report(agent_a, 3, segment_outcome::absent);
+    report(agent_b, 3, segment_outcome::absent);
+    EXPECT_EQ(resets(), 1U);
+}
+
+// Guards against a false reset after a route has moved to another service, whose targets do not hold the open
+// flows.
+TEST_F(segment_balancer_test, former_services_of_a_route_are_searched_too)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_c, "zone-b", "chart");
+    replace(2, "chart");
+    send(1, 77);
+    EXPECT_EQ(sent(segment_purpose::search).size(), 2U);
+    report(agent_c, 1, segment_outcome::absent);
+    EXPECT_EQ(resets(), 0U);
+    report(agent_a, 1, segment_outcome::held);
+    out.clear();
+    send(1, 78);
+    EXPECT_EQ(sent(segment_purpose::held), targets{agent_a});
+}
+
+// Guards against new flows on a route that the description in force does not have.
+TEST_F(segment_balancer_test, a_route_that_was_removed_takes_no_flow)
+{
+    join(agent_a, "zone-a", "live");
+    wire::change c;
+    c.time_ms = 5000;
+    wire::replacement r = description(3, "live");
+    r.routes.clear();
+    c.__set_replace(r);
+    table.apply(revision{++revision_}, c);
+    renew();
+    open(1);
+    EXPECT_EQ(resets(), 1U);
+    EXPECT_TRUE(out.sends.empty());
+}
+
+}  // namespace
+}  // namespace peridotcleat
--- /dev/null
+++ b/src/libperidotcleat/version/table_replace_test.cpp
@@ -0,0 +1,140 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "peridotcleat/table_copy.h"
+#include "peridotcleat/table_state.h"
+
+namespace peridotcleat {
+namespace {
+
+wire::replacement_route route_to(std::uint16_t port, std::int64_t service, std::int32_t weight = 1)
+{
+    wire::replacement_route r;
+    r.address = to_wire(endpoint{0xc6120001, port});
+    wire::route_backend b;
+    b.service_id = service;
+    b.weight = weight;
+    r.backends.push_back(b);
+    return r;
+}
+
+wire::replacement description(std::int64_t version, std::vector<wire::replacement_route> routes)
+{
+    wire::replacement r;
+    r.version = version;
+    r.services = {"live", "chart"};
+    r.routes = std::move(routes);
+    r.document = "document " + std::to_string(version);
+    return r;
+}
+
+class table_replace_test : public ::testing::Test {
+protected:
+    apply_outcome replace(const wire::replacement& r)
+    {
+        wire::change c;
+        c.time_ms = ++next_ * 1000;
+        c.__set_replace(r);
+        return table.apply(revision{next_}, c);
+    }
+
+    std::int64_t next_ = 0;
+    table_state table;
+};
+
+// Guards against a version that falls back, or whose content changes under a version that was acknowledged.
+TEST_F(table_replace_test, a_version_that_is_not_higher_changes_nothing)
+{
+    EXPECT_EQ(replace(description(7, {route_to(80, 0)})).patch->status, patch_status::accepted);
+    const auto digest = table.digest();
+    for (const std::int64_t version : {7, 3}) {
+        const auto outcome = replace(description(version, {route_to(81, 1)}));
+        EXPECT_EQ(outcome.patch->status, patch_status::already_accepted);
+        EXPECT_EQ(outcome.patch->version.value, 7);
+        EXPECT_EQ(table.digest(), digest);
+        EXPECT_EQ(table.document().bytes, "document 7");
+    }
+}
+
+// Guards against an invalid description in force.
+TEST_F(table_replace_test, an_invalid_description_is_refused_whole)
+{
+    replace(description(1, {route_to(80, 0)}));
+    const auto digest = table.digest();
+    EXPECT_EQ(replace(description(2, {route_to(80, 0), route_to(80, 1)})).refused->code,
+              error_code::address_overlap);
+    EXPECT_EQ(replace(description(2, {route_to(80, 2)})).refused->code, error_code::service_unknown);
+    EXPECT_EQ(replace(description(2, {route_to(80, 0, 0)})).refused->code,
+              error_code::description_invalid_value);
+    EXPECT_EQ(table.digest(), digest);
+    EXPECT_EQ(table.document().version, 1);
+}
+
+// Guards against targets that are lost when a description is replaced by one that still names their service.
+TEST_F(table_replace_test, services_that_stay_keep_id_and_targets)
+{
+    replace(description(1, {route_to(80, 0)}));
+    const auto live = table.find_service("live");
+    wire::replacement r = description(2, {route_to(80, 1)});
+    r.services = {"other", "live"};
+    replace(r);
+    EXPECT_EQ(table.find_service("live"), live);
+    EXPECT_FALSE(table.find_service("chart"));
+    EXPECT_EQ(table.routes().begin()->second.backends[0].service_id, live->value);
+}
+
+// Guards against a search for open flows that misses the service a route sent them to before.
+TEST_F(table_replace_test, a_route_remembers_its_former_service_for_a_while)
+{
+    replace(description(1, {route_to(80, 0)}));
+    replace(description(2, {route_to(80, 1)}));
+    ASSERT_EQ(table.routes().begin()->second.formers.size(), 1U);
+    EXPECT_EQ(table.routes().begin()->second.formers[0].service_id, table.find_service("live")->value);
+    next_ += 200;
+    wire::replacement r = description(3, {route_to(80, 1, 2)});
+    replace(r);
+    EXPECT_TRUE(table.routes().begin()->second.formers.empty());
+}
+
+// Guards against copies and snapshots that differ from the table after routes came, went and came back.
+RC_GTEST_PROP(table_replace, copies_and_snapshots_equal_the_table, ())
+{
+    table_state table;
+    table_copy copy;
+    std::vector<service_id> touched;
+    const auto rounds = *rc::gen::inRange<std::int64_t>(1, 12);
+    for (std::int64_t i = 1; i <= rounds; ++i) {
+        std::vector<wire::replacement_route> routes;
+        for (std::uint16_t port = 1; port <= 40; ++port) {
+            if (*rc::gen::inRange(0, 3) != 0) {
+                routes.push_back(route_to(port, *rc::gen::inRange<std::int64_t>(0, 2)));
+            }
+        }
+        wire::change c;
+        c.time_ms = i * 30'000;
+        c.__set_replace(description(i, routes));
+        RC_ASSERT(!table.apply(revision{i}, c).refused);
+        RC_ASSERT(table.routes().size() == routes.size());
+        if (*rc::gen::inRange(0, 2) == 0) {
+            continue;
+        }
+        page_outcome outcome = page_outcome::staged;
+        for (int page = 0; page < 50 && outcome == page_outcome::staged; ++page) {
+            wire::pull_request request;
+            copy.fill(request);
+            outcome = copy.take(table.delta(request.position, request.full, 300), touched);
+        }
+        RC_ASSERT(outcome == page_outcome::applied);
+        RC_ASSERT(copy.table().digest() == table.digest());
+        RC_ASSERT(copy.table().routes() == table.routes());
+        RC_ASSERT(copy.table().document().version == i);
+    }
+    const auto restored = table_state::from_snapshot(table.snapshot());
+    RC_ASSERT(has_value(restored));
+    RC_ASSERT(value(restored).digest() == table.digest());
+    RC_ASSERT(value(restored).document().bytes == table.document().bytes);
+}
+
+}  // namespace
+}  // namespace peridotcleat
