--- a/src/cmake/libraries.cmake
+++ b/src/cmake/libraries.cmake
@@ -5,8 +5,9 @@
   find_package(rapidcheck REQUIRED)
 endif()
 find_package(Threads REQUIRED)
-find_library(THRIFT_LIBRARY thrift REQUIRED)
-find_library(DOCOPT_LIBRARY docopt REQUIRED)
+# The archive leaves out the parts that load a TLS library into each process.
+find_library(THRIFT_LIBRARY NAMES libthrift.a thrift REQUIRED)
+find_library(DOCOPT_LIBRARY NAMES libdocopt.a docopt REQUIRED)
 find_path(EASYLOGGING_FOLDER easylogging++.cc REQUIRED)
 
 # easylogging++ is shipped as a source file, and wants its storage defined once in each program.
--- a/src/libperidotcleat/process/settings.cpp
+++ b/src/libperidotcleat/process/settings.cpp
@@ -59,6 +59,18 @@
     return defaults;
 }
 
+// Names the flags that a usage text describes, each at the start of its line.
+std::vector<std::string> flags_in(const std::string& usage)
+{
+    static const std::string mark = "\n  --";
+    std::vector<std::string> flags;
+    for (std::size_t at = usage.find(mark); at != std::string::npos; at = usage.find(mark, at + 1)) {
+        const std::size_t begin = at + mark.size() - 2;
+        flags.push_back(usage.substr(begin, usage.find_first_of(" =\n", begin) - begin));
+    }
+    return flags;
+}
+
 std::string trimmed(const std::string& text)
 {
     const auto begin = text.find_first_not_of(" \t\r");
@@ -102,8 +114,17 @@
     std::string text = usage;
     const auto defaults = take_defaults(text);
     std::map<std::string, docopt::value> parsed;
+    if (arguments.empty() && settings_file_path() != nullptr) {
+        // Without arguments there is nothing to parse; compiling the usage text would double the time that a
+        // process takes to start.
+        for (const std::string& flag : flags_in(text)) {
+            parsed[flag] = {};
+        }
+    }
     try {
-        parsed = docopt::docopt_parse(text, arguments, true, true);
+        if (parsed.empty()) {
+            parsed = docopt::docopt_parse(text, arguments, true, true);
+        }
     } catch (const docopt::DocoptExitHelp&) {
         std::cout << usage << '\n';
         std::exit(0);  // NOLINT(concurrency-mt-unsafe): no other thread runs yet
