Reset a flow only after every target of a table newer than the search has denied it

A balancer whose table was 1.2 s old searched for a flow, every target in its table denied it, and it reset the flow. The flow was open at a target that had joined after that table, placed there by another balancer. The check "the table is younger than 1.5 s" cannot exclude this. Ruled out: a target that denies a flow that it holds (the server's own record shows that it was not asked). Change: the outcome waits until the table is newer than the start of the search by 200 ms; targets that appear meanwhile are asked; a waiting search pulls the table. Test: a_target_that_joined_meanwhile_is_asked_before_a_reset, which the former code fails.

--- a/src/include/peridotcleat/node_link.h
+++ b/src/include/peridotcleat/node_link.h
@@ -31,6 +31,8 @@
     /// The parents name others in their replies, which are then pulled from too.
     bool discover_parents = false;
     std::chrono::milliseconds pull_interval{1000};
+    /// Time between two pulls and two announcements of a node that has no place in its table yet.
+    std::chrono::milliseconds join_interval{1000};
     /// A parent that is silent or whose state is older than this is left.
     std::chrono::milliseconds parent_timeout{3000};
     /// Must differ at each start of the process: the nonce of the start is derived from it.
@@ -66,6 +68,9 @@
     /// Pulls at once because a newer revision was seen.
     void on_newer_revision(time_point now, revision seen, outbox& out);
 
+    /// Pulls at once because a newer table is needed, unless it has just pulled.
+    void refresh(time_point now, outbox& out);
+
     [[nodiscard]] const table_state& table() const noexcept { return copy_.table(); }
     /// Identity after the join, 0 before.
     [[nodiscard]] incarnation id() const noexcept { return id_; }
--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -42,8 +42,12 @@
     void on_packet(time_point now, std::string_view packet, std::chrono::milliseconds table_age, outbox& out);
     /// Handles segment_report and segment_load of agents; ignores other messages.
     void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
-    /// Forgets flows that were silent for long. Call at least once a second.
-    void on_tick(time_point now);
+    /// Ends searches whose outcome is certain and forgets flows that were silent for long. `table_age` is the
+    /// age of the routes. Call at least every 100 ms.
+    void on_tick(time_point now, std::chrono::milliseconds table_age, outbox& out);
+
+    /// Returns true while the outcome of a search waits for a newer table.
+    [[nodiscard]] bool wants_table(time_point now) const;
 
     /// Number of flows in the cache.
     [[nodiscard]] std::size_t size() const noexcept { return flows_.size(); }
@@ -62,9 +66,12 @@
     // A search for the holder of a flow.
     struct search {
         time_point started;
+        time_point asked_at;
         std::vector<endpoint> asked;
         std::vector<endpoint> absent;
         std::vector<std::string> waiting;
+        // The segment that is searched with.
+        std::string packet;
     };
 
     // What is known of one flow.
@@ -98,7 +105,11 @@
     void place(time_point now, const flow_key& key, flow& f, std::string_view packet, outbox& out);
     void start_search(time_point now, const flow_key& key, std::string_view packet,
                       std::vector<endpoint> absent, outbox& out);
-    void finish_search(const flow_key& key, outbox& out);
+    void search_again(time_point now, const flow_key& key, search& s, std::string_view packet,
+                      outbox& out) const;
+    void ask(const flow_key& key, search& s, outbox& out) const;
+    [[nodiscard]] bool finish_search(time_point now, const flow_key& key, flow& f, outbox& out);
+    void finish_searches(time_point now, outbox& out);
     [[nodiscard]] const flow_service* service_of(const flow_key& key, std::int64_t service) const;
     [[nodiscard]] const flow_target* best_candidate(time_point now, const flow_service& service,
                                                     const flow& f) const;
@@ -106,7 +117,7 @@
     [[nodiscard]] static std::optional<endpoint> holder_by_sequence(const flow& f,
                                                                     std::uint32_t acknowledged);
     void forward(const endpoint& agent, std::int64_t service, segment_purpose purpose,
-                 std::string_view packet, outbox& out);
+                 std::string_view packet, outbox& out) const;
     void reset(const flow_key& key, std::uint32_t sequence, error_code reason, outbox& out);
     flow& remember(time_point now, const flow_key& key);
 
@@ -115,6 +126,8 @@
     std::shared_ptr<const flow_routes> routes_;
     std::chrono::milliseconds table_age_{0};
     flow_map flows_;
+    // Flows that are searched for; some may have been found or forgotten.
+    std::vector<flow_key> searched_;
     std::unordered_map<std::int64_t, target_load> loads_;
     time_point last_cleaned_;
 };
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -23,6 +23,10 @@
 constexpr milliseconds retry_lost{2000};
 // A search without an answer is repeated with the caller's next packet.
 constexpr milliseconds search_timeout{150};
+// Added to the age of a table, for what the parent had not heard of when it answered.
+constexpr milliseconds table_margin{200};
+// A search without an outcome by then is given up until the caller speaks again.
+constexpr milliseconds search_memory{5000};
 // The most packets a sender has in flight.
 constexpr std::size_t max_waiting = 16;
 // Below this age a table is as good as control's own, and what it does not hold does not exist.
@@ -219,10 +223,8 @@
     } else if (!f.placements.empty()) {
         // The report of the offer is late or lost; the agent knows whether the flow is its own.
         forward(f.placements.back().agent, f.service, segment_purpose::held, packet, out);
-    } else if (f.searching && now - f.searching->started < search_timeout) {
-        if (f.searching->waiting.size() < max_waiting) {
-            f.searching->waiting.emplace_back(packet);
-        }
+    } else if (f.searching) {
+        search_again(now, s.key, *f.searching, packet, out);
     } else {
         start_search(now, s.key, packet, {}, out);
     }
@@ -244,38 +246,93 @@
     }
     f.searching = std::make_unique<search>();
     f.searching->started = now;
+    f.searching->asked_at = now;
     f.searching->absent = std::move(absent);
-    for (const flow_service* service : route->holders()) {
-        for (const flow_target& t : service->targets) {
-            if (!contains(f.searching->asked, t.agent)) {
-                f.searching->asked.push_back(t.agent);
-                if (!contains(f.searching->absent, t.agent)) {
-                    forward(t.agent, service->key, segment_purpose::search, packet, out);
-                }
-            }
-        }
-    }
+    f.searching->packet = std::string(packet);
+    ask(key, *f.searching, out);
+    searched_.push_back(key);
     counted_->add(event::flows_redirected);
     log_event(log_level::info, "flow_searched",
               {{"flow", to_string(key)},
                {"targets", static_cast<std::int64_t>(f.searching->asked.size())},
                {"absent", static_cast<std::int64_t>(f.searching->absent.size())},
                {"table_age_ms", table_age_.count()}});
-    finish_search(key, out);
 }
 
-// Ends a search in which every target of a fresh table has said that it does not hold the flow.
-void segment_balancer::finish_search(const flow_key& key, outbox& out)
+// Takes a further packet of a flow that is searched for: targets that were silent are asked again.
+void segment_balancer::search_again(time_point now, const flow_key& key, search& s, std::string_view packet,
+                                    outbox& out) const
 {
-    const auto it = flows_.find(key);
-    const flow& f = it->second;
-    const bool all_absent = std::ranges::all_of(
-        f.searching->asked, [&](const endpoint& e) { return contains(f.searching->absent, e); });
-    if (!all_absent || f.searching->asked.empty() || table_age_ >= fresh_table) {
+    if (now - s.asked_at < search_timeout) {
+        if (s.waiting.size() < max_waiting) {
+            s.waiting.emplace_back(packet);
+        }
         return;
     }
-    reset(key, f.acknowledged, error_code::flow_unknown, out);
-    flows_.erase(it);
+    s.packet = std::string(packet);
+    s.asked_at = now;
+    s.asked = s.absent;
+    ask(key, s, out);
+}
+
+// Sends the segment to all targets that may hold the flow and were not asked yet.
+void segment_balancer::ask(const flow_key& key, search& s, outbox& out) const
+{
+    const flow_route* route = routes_->find(key.destination);
+    if (route == nullptr) {
+        return;
+    }
+    for (const flow_service* service : route->holders()) {
+        for (const flow_target& t : service->targets) {
+            if (contains(s.asked, t.agent)) {
+                continue;
+            }
+            s.asked.push_back(t.agent);
+            if (!contains(s.absent, t.agent)) {
+                forward(t.agent, service->key, segment_purpose::search, s.packet, out);
+            }
+        }
+    }
+}
+
+// Returns true if nobody holds the flow. That is certain only if every target of a table that is newer than
+// the search has said so: another balancer may have placed the flow on a target that had just joined.
+bool segment_balancer::finish_search(time_point now, const flow_key& key, flow& f, outbox& out)
+{
+    if (now - table_age_ < f.searching->started + table_margin) {
+        return false;
+    }
+    ask(key, *f.searching, out);
+    return !f.searching->asked.empty() && std::ranges::all_of(f.searching->asked, [&](const endpoint& e) {
+        return contains(f.searching->absent, e);
+    });
+}
+
+bool segment_balancer::wants_table(time_point now) const
+{
+    return std::ranges::any_of(searched_, [&](const flow_key& key) {
+        const auto it = flows_.find(key);
+        return it != flows_.end() && it->second.searching &&
+               now >= it->second.searching->started + table_margin &&
+               now - table_age_ < it->second.searching->started + table_margin;
+    });
+}
+
+void segment_balancer::finish_searches(time_point now, outbox& out)
+{
+    std::erase_if(searched_, [&](const flow_key& key) {
+        const auto it = flows_.find(key);
+        if (it == flows_.end() || !it->second.searching ||
+            now - it->second.searching->started > search_memory) {
+            return true;
+        }
+        if (!finish_search(now, key, it->second, out)) {
+            return false;
+        }
+        reset(key, it->second.acknowledged, error_code::flow_unknown, out);
+        flows_.erase(it);
+        return true;
+    });
 }
 
 void segment_balancer::on_message(time_point now, const endpoint& from, const message& m, outbox& out)
@@ -379,7 +436,6 @@
         if (!contains(f.searching->absent, from)) {
             f.searching->absent.push_back(from);
         }
-        finish_search(key, out);
         return;
     }
     const bool meanwhile_found = f.holder && *f.holder != from;
@@ -404,7 +460,7 @@
 }
 
 void segment_balancer::forward(const endpoint& agent, std::int64_t service, segment_purpose purpose,
-                               std::string_view packet, outbox& out)
+                               std::string_view packet, outbox& out) const
 {
     wire::segment_forward m;
     m.packet = std::string(packet);
@@ -426,8 +482,10 @@
         {{key.source.address, settings_.caller_port}, settings_.format.make_reset(key, sequence)});
 }
 
-void segment_balancer::on_tick(time_point now)
+void segment_balancer::on_tick(time_point now, milliseconds table_age, outbox& out)
 {
+    table_age_ = table_age;
+    finish_searches(now, out);
     if (now - last_cleaned_ < clean_interval) {
         return;
     }
--- a/src/libperidotcleat/connection/segment_balancer_test.cpp
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -217,19 +217,38 @@
     join(agent_b, "zone-b", "live");
     send(1, 77);
     report(agent_a, 1, segment_outcome::absent);
+    now += std::chrono::seconds(1);
+    balancer.on_tick(now, milliseconds(0), out);
     EXPECT_EQ(resets(), 0U);
-    age = std::chrono::seconds(5);
     send(2, 77);
     report(agent_a, 2, segment_outcome::absent);
     report(agent_b, 2, segment_outcome::absent);
+    now += std::chrono::seconds(1);
+    balancer.on_tick(now, milliseconds(1500), out);
     EXPECT_EQ(resets(), 0U);
-    age = milliseconds(100);
-    send(3, 77);
-    report(agent_a, 3, segment_outcome::absent);
-    report(agent_b, 3, segment_outcome::absent);
+    balancer.on_tick(now, milliseconds(100), out);
     EXPECT_EQ(resets(), 1U);
 }
 
+// Guards against a reset of a flow at a target that joined so lately that this balancer has not heard of it,
+// although another one has placed flows there.
+TEST_F(segment_balancer_test, a_target_that_joined_meanwhile_is_asked_before_a_reset)
+{
+    join(agent_a, "zone-a", "live");
+    send(1, 77);
+    report(agent_a, 1, segment_outcome::absent);
+    EXPECT_EQ(resets(), 0U);
+    join(agent_b, "zone-b", "live");
+    out.clear();
+    now += milliseconds(600);
+    balancer.on_tick(now, milliseconds(50), out);
+    EXPECT_EQ(sent(segment_purpose::search), targets{agent_b});
+    report(agent_b, 1, segment_outcome::held);
+    now += milliseconds(600);
+    balancer.on_tick(now, milliseconds(50), out);
+    EXPECT_EQ(resets(), 0U);
+}
+
 // Guards against a false reset after a route has moved to another service, whose targets do not hold the open
 // flows.
 TEST_F(segment_balancer_test, former_services_of_a_route_are_searched_too)
@@ -240,6 +259,8 @@
     send(1, 77);
     EXPECT_EQ(sent(segment_purpose::search).size(), 2U);
     report(agent_c, 1, segment_outcome::absent);
+    now += std::chrono::seconds(1);
+    balancer.on_tick(now, milliseconds(0), out);
     EXPECT_EQ(resets(), 0U);
     report(agent_a, 1, segment_outcome::held);
     out.clear();
--- a/src/libperidotcleat/version/node_link.cpp
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -24,7 +24,7 @@
 // A pull without a reply for this long is sent again: ten round trips between zones. Several datagrams in a
 // row must be lost before the lease of a node loses a second.
 constexpr milliseconds reply_timeout{200};
-constexpr milliseconds announce_interval{1000};
+constexpr milliseconds leave_announce_interval{1000};
 constexpr milliseconds unknown_age{3600000};
 // Several times the number of control processes.
 constexpr std::size_t max_parents = 32;
@@ -132,6 +132,13 @@
     }
 }
 
+void node_link::refresh(time_point now, outbox& out)
+{
+    if (now - last_pull_ >= urgent_pull_spacing) {
+        pull(now, current_, out);
+    }
+}
+
 void node_link::on_tick(time_point now, outbox& out)
 {
     if (!started_) {
@@ -146,15 +153,15 @@
                       now - *current.unanswered < settings_.pull_interval;
     if (lost) {
         pull(now, current_, out);
-        next_pull_ = now + jittered(settings_.pull_interval);
+        next_pull_ = now + jittered(ready() ? settings_.pull_interval : settings_.join_interval);
     } else if (now >= next_pull_) {
         pull(now, current_, out);
         probe(now, out);
-        next_pull_ = now + jittered(settings_.pull_interval);
+        next_pull_ = now + jittered(ready() ? settings_.pull_interval : settings_.join_interval);
     }
     if (now >= next_announce_ && announcement_due()) {
         announce(now, out);
-        next_announce_ = now + jittered(announce_interval);
+        next_announce_ = now + jittered(id_.valid() ? leave_announce_interval : settings_.join_interval);
     }
 }
 
@@ -237,7 +244,7 @@
     const bool advanced = reply.page.position != reply.page.start;
     if (outcome == page_outcome::mismatch || (outcome == page_outcome::staged && advanced)) {
         pull(now, index, out);
-        next_pull_ = now + jittered(settings_.pull_interval);
+        next_pull_ = now + jittered(ready() ? settings_.pull_interval : settings_.join_interval);
     }
 }
 
