--- a/src/cmake/warnings.cmake
+++ b/src/cmake/warnings.cmake
@@ -2,4 +2,4 @@
 add_library(peridotcleat_warnings INTERFACE)
 # -Wrestrict of GCC 12 reports text concatenation at -O3 wrongly (GCC bug 105651).
 target_compile_options(peridotcleat_warnings INTERFACE
-  -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion -Wno-restrict -Wnon-virtual-dtor -Werror)
+  -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion $<$<CONFIG:Release>:-Wno-restrict> -Wnon-virtual-dtor -Werror)
--- a/src/include/peridotcleat/segment.h
+++ b/src/include/peridotcleat/segment.h
@@ -56,7 +56,9 @@
     /// The flow was not accepted; the segment comes back.
     declined = 3,
     /// The flow is certainly not held here.
-    absent = 4
+    absent = 4,
+    /// Only the target knows whether it holds the flow; it says so when it gets a segment.
+    unsure = 5
 };
 
 /// Returns the flow as its caller names it, for a packet to the caller.
--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -58,7 +58,7 @@
     bool on_announcement(time_point now, const target_announcement& a, outbox& out);
     /// The target has ended.
     void on_target_left(time_point now, outbox& out);
-    /// Handles segment_forward of a balancer; ignores other messages.
+    /// Handles segment_forward and segment_query of a balancer; ignores other messages.
     void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
     /// Handles a packet that the target sent or gave back.
     void on_target_packet(time_point now, std::string_view packet, outbox& out);
@@ -92,6 +92,9 @@
     using flow_map = std::unordered_map<flow_key, flow, flow_key_hash>;
 
     void on_forward(time_point now, const endpoint& from, const wire::segment_forward& m, outbox& out);
+    void on_query(time_point now, const endpoint& from, const wire::segment_query& q, outbox& out);
+    [[nodiscard]] segment_outcome outcome_for(time_point now, const flow_key& key,
+                                              std::uint32_t acknowledged) const;
     void on_placement(time_point now, const endpoint& from, const segment& s, const wire::segment_forward& m,
                       outbox& out);
     void on_later(time_point now, const endpoint& from, const segment& s, const wire::segment_forward& m,
--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -69,9 +69,9 @@
         time_point asked_at;
         std::vector<endpoint> asked;
         std::vector<endpoint> absent;
+        // Agents that got the first of the waiting segments.
+        std::vector<endpoint> probed;
         std::vector<std::string> waiting;
-        // The segment that is searched with.
-        std::string packet;
     };
 
     // What is known of one flow.
@@ -105,9 +105,10 @@
     void place(time_point now, const flow_key& key, flow& f, std::string_view packet, outbox& out);
     void start_search(time_point now, const flow_key& key, std::string_view packet,
                       std::vector<endpoint> absent, outbox& out);
-    void search_again(time_point now, const flow_key& key, search& s, std::string_view packet,
+    void search_again(time_point now, const flow_key& key, flow& f, std::string_view packet,
                       outbox& out) const;
-    void ask(const flow_key& key, search& s, outbox& out) const;
+    void ask(const flow_key& key, const flow& f, outbox& out) const;
+    void on_unsure(const flow_key& key, const endpoint& from, outbox& out);
     [[nodiscard]] bool finish_search(time_point now, const flow_key& key, flow& f, outbox& out);
     void finish_searches(time_point now, outbox& out);
     [[nodiscard]] const flow_service* service_of(const flow_key& key, std::int64_t service) const;
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -65,6 +65,10 @@
         busy_ = 0;
         started_ = now - settings_.max_flow_age - age_margin;
     }
+    if (!target_ && a.sequence == 1) {
+        // No flow is admitted before the first announcement, so the target holds none yet.
+        started_ = now - settings_.max_flow_age - age_margin;
+    }
     const bool changed = !target_ || target_->draining != a.draining;
     last_started_ms_ = a.started_ms;
     target_ = a;
@@ -124,7 +128,35 @@
 {
     if (const auto* forwarded = std::get_if<wire::segment_forward>(&m)) {
         on_forward(now, from, *forwarded, out);
+    } else if (const auto* query = std::get_if<wire::segment_query>(&m)) {
+        on_query(now, from, *query, out);
+    }
+}
+
+// Whether a segment of the flow belongs here.
+segment_outcome segment_agent::outcome_for(time_point now, const flow_key& key,
+                                           std::uint32_t acknowledged) const
+{
+    const auto it = flows_.find(key);
+    if (it == flows_.end()) {
+        return !target_ || knows_all_flows(now) ? segment_outcome::absent : segment_outcome::unsure;
     }
+    const flow& f = it->second;
+    if (f.offered && !f.opened && !acknowledges_flow(acknowledged, f.target_sequence)) {
+        // The caller has taken the offer of another target.
+        return segment_outcome::absent;
+    }
+    return f.probing ? segment_outcome::unsure : segment_outcome::held;
+}
+
+void segment_agent::on_query(time_point now, const endpoint& from, const wire::segment_query& q, outbox& out)
+{
+    balancers_[route_number(from)] = now;
+    const flow_key key = from_wire(q.key);
+    const auto outcome = q.service_key == service_key_
+                             ? outcome_for(now, key, static_cast<std::uint32_t>(q.acknowledged))
+                             : segment_outcome::absent;
+    out.send(from, report_of(key, outcome));
 }
 
 void segment_agent::on_forward(time_point now, const endpoint& from, const wire::segment_forward& m,
@@ -197,10 +229,7 @@
                              const wire::segment_forward& m, outbox& out)
 {
     const bool searched = static_cast<segment_purpose>(m.purpose) == segment_purpose::search;
-    auto it = flows_.find(s.key);
-    const bool foreign = it != flows_.end() && it->second.offered && !it->second.opened &&
-                         !acknowledges_flow(s.acknowledged, it->second.target_sequence);
-    if (foreign || (it == flows_.end() && (!target_ || knows_all_flows(now)))) {
+    if (outcome_for(now, s.key, s.acknowledged) == segment_outcome::absent) {
         counted_->refuse(error_code::flow_unknown);
         auto report = report_of(s.key, segment_outcome::absent);
         if (!searched) {
@@ -209,6 +238,7 @@
         out.send(from, std::move(report));
         return;
     }
+    auto it = flows_.find(s.key);
     if (it == flows_.end()) {
         it = flows_.try_emplace(s.key).first;
         it->second.probing = true;
--- a/src/libperidotcleat/connection/segment_agent_test.cpp
+++ b/src/libperidotcleat/connection/segment_agent_test.cpp
@@ -18,9 +18,8 @@
 constexpr endpoint app{0x0a010001, 8080};
 constexpr flow_key flow{{0x64400001, 40001}, {0xc6120001, 443}};
 
-class segment_agent_test : public ::testing::Test {
-protected:
-    segment_agent_test() { announce(1, 1); }
+struct segment_agent_test : public ::testing::Test {
+    segment_agent_test() { announce(1, 5); }
 
     segment_agent_settings settings()
     {
@@ -127,7 +126,7 @@
 TEST_F(segment_agent_test, a_draining_target_takes_no_new_flow_and_keeps_its_open_ones)
 {
     open_flow();
-    EXPECT_TRUE(announce(1, 2, true));
+    EXPECT_TRUE(announce(1, 6, true));
     out.clear();
     segment s;
     s.key = {{0x64400001, 40002}, flow.destination};
@@ -146,6 +145,27 @@
     EXPECT_EQ(delivered(), 1U);
 }
 
+// Guards against segments at targets that cannot hold their flow: an agent that heard the first announcement
+// knows.
+TEST_F(segment_agent_test, answers_queries_by_what_is_certain)
+{
+    const auto query = [&](const std::string& service) {
+        wire::segment_query q;
+        q.key = to_wire(flow);
+        q.service_key = service_key(service);
+        q.acknowledged = 5001;
+        agent.on_message(now, balancer, q, out);
+        return static_cast<segment_outcome>(reports().at(0).outcome);
+    };
+    EXPECT_EQ(query("live"), segment_outcome::unsure);
+    EXPECT_EQ(query("chart"), segment_outcome::absent);
+    open_flow();
+    EXPECT_EQ(query("live"), segment_outcome::held);
+    EXPECT_TRUE(announce(9, 1));
+    out.clear();
+    EXPECT_EQ(query("live"), segment_outcome::absent);
+}
+
 // Guards against packets at another service after the machine's address has changed hands.
 TEST_F(segment_agent_test, segments_of_another_service_are_not_delivered)
 {
@@ -190,7 +210,7 @@
 TEST_F(segment_agent_test, knows_all_flows_after_their_greatest_age)
 {
     now += seconds(70);
-    announce(1, 2);
+    announce(1, 6);
     out.clear();
     forward(segment_purpose::search, false, 77);
     EXPECT_EQ(delivered(), 0U);
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -224,7 +224,7 @@
         // The report of the offer is late or lost; the agent knows whether the flow is its own.
         forward(f.placements.back().agent, f.service, segment_purpose::held, packet, out);
     } else if (f.searching) {
-        search_again(now, s.key, *f.searching, packet, out);
+        search_again(now, s.key, f, packet, out);
     } else {
         start_search(now, s.key, packet, {}, out);
     }
@@ -248,8 +248,8 @@
     f.searching->started = now;
     f.searching->asked_at = now;
     f.searching->absent = std::move(absent);
-    f.searching->packet = std::string(packet);
-    ask(key, *f.searching, out);
+    f.searching->waiting.emplace_back(packet);
+    ask(key, f, out);
     searched_.push_back(key);
     counted_->add(event::flows_redirected);
     log_event(log_level::info, "flow_searched",
@@ -259,42 +259,70 @@
                {"table_age_ms", table_age_.count()}});
 }
 
-// Takes a further packet of a flow that is searched for: targets that were silent are asked again.
-void segment_balancer::search_again(time_point now, const flow_key& key, search& s, std::string_view packet,
+// Takes a further packet of a flow that is searched for. Targets that were silent are asked again.
+void segment_balancer::search_again(time_point now, const flow_key& key, flow& f, std::string_view packet,
                                     outbox& out) const
 {
+    search& s = *f.searching;
     if (now - s.asked_at < search_timeout) {
         if (s.waiting.size() < max_waiting) {
             s.waiting.emplace_back(packet);
         }
         return;
     }
-    s.packet = std::string(packet);
     s.asked_at = now;
     s.asked = s.absent;
-    ask(key, s, out);
+    s.probed.clear();
+    s.waiting.assign(1, std::string(packet));
+    ask(key, f, out);
 }
 
-// Sends the segment to all targets that may hold the flow and were not asked yet.
-void segment_balancer::ask(const flow_key& key, search& s, outbox& out) const
+// Asks all targets that may hold the flow and were not asked yet.
+void segment_balancer::ask(const flow_key& key, const flow& f, outbox& out) const
 {
     const flow_route* route = routes_->find(key.destination);
     if (route == nullptr) {
         return;
     }
+    search& s = *f.searching;
+    wire::segment_query query;
+    query.key = to_wire(key);
+    query.acknowledged = static_cast<std::int32_t>(f.acknowledged);
     for (const flow_service* service : route->holders()) {
+        query.service_key = service->key;
         for (const flow_target& t : service->targets) {
             if (contains(s.asked, t.agent)) {
                 continue;
             }
             s.asked.push_back(t.agent);
             if (!contains(s.absent, t.agent)) {
-                forward(t.agent, service->key, segment_purpose::search, s.packet, out);
+                out.send(t.agent, query);
             }
         }
     }
 }
 
+// The agent has restarted and its target may hold the flow: a segment shows.
+void segment_balancer::on_unsure(const flow_key& key, const endpoint& from, outbox& out)
+{
+    const auto it = flows_.find(key);
+    if (it == flows_.end() || !it->second.searching || contains(it->second.searching->probed, from)) {
+        return;
+    }
+    search& s = *it->second.searching;
+    s.probed.push_back(from);
+    const flow_route* route = routes_->find(key.destination);
+    if (route == nullptr) {
+        return;
+    }
+    for (const flow_service* service : route->holders()) {
+        if (std::ranges::find(service->targets, from, &flow_target::agent) != service->targets.end()) {
+            forward(from, service->key, segment_purpose::search, s.waiting.front(), out);
+            return;
+        }
+    }
+}
+
 // Returns true if nobody holds the flow. That is certain only if every target of a table that is newer than
 // the search has said so: another balancer may have placed the flow on a target that had just joined.
 bool segment_balancer::finish_search(time_point now, const flow_key& key, flow& f, outbox& out)
@@ -302,7 +330,7 @@
     if (now - table_age_ < f.searching->started + table_margin) {
         return false;
     }
-    ask(key, *f.searching, out);
+    ask(key, f, out);
     return !f.searching->asked.empty() && std::ranges::all_of(f.searching->asked, [&](const endpoint& e) {
         return contains(f.searching->absent, e);
     });
@@ -359,6 +387,7 @@
         break;
     case segment_outcome::held: on_held(now, from_wire(report.key), from, out); break;
     case segment_outcome::declined: on_declined(now, from, report, out); break;
+    case segment_outcome::unsure: on_unsure(from_wire(report.key), from, out); break;
     case segment_outcome::absent: on_absent(now, from, report, out); break;
     default: counted_->refuse(error_code::message_malformed);
     }
@@ -391,8 +420,9 @@
     f.placements.clear();
     const auto searched = std::move(f.searching);
     if (searched) {
-        for (const std::string& packet : searched->waiting) {
-            forward(from, f.service, segment_purpose::held, packet, out);
+        const std::size_t delivered = contains(searched->probed, from) ? 1 : 0;
+        for (std::size_t i = delivered; i < searched->waiting.size(); ++i) {
+            forward(from, f.service, segment_purpose::held, searched->waiting[i], out);
         }
     }
 }
--- a/src/libperidotcleat/connection/segment_balancer_test.cpp
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -33,8 +33,7 @@
     return r;
 }
 
-class segment_balancer_test : public ::testing::Test {
-protected:
+struct segment_balancer_test : public ::testing::Test {
     segment_balancer_test() { replace(1, "live"); }
 
     void replace(std::int64_t version, const std::string& service)
@@ -42,7 +41,7 @@
         wire::change c;
         c.time_ms = 1000 * version;
         c.__set_replace(description(version, service));
-        table.apply(revision{++revision_}, c);
+        table.apply(revision{++last_revision}, c);
         renew();
     }
 
@@ -58,7 +57,7 @@
         j.value.nonce = agent.address;
         j.value.name = to_string(agent);
         c.__set_join_target(j);
-        table.apply(revision{++revision_}, c);
+        table.apply(revision{++last_revision}, c);
         renew();
     }
 
@@ -109,7 +108,21 @@
     {
         std::vector<endpoint> to;
         for (const send_action& s : out.sends) {
-            if (std::get<wire::segment_forward>(s.body).purpose == static_cast<std::int8_t>(purpose)) {
+            const auto* forwarded = std::get_if<wire::segment_forward>(&s.body);
+            if (forwarded != nullptr && forwarded->purpose == static_cast<std::int8_t>(purpose)) {
+                to.push_back(s.to);
+            }
+        }
+        out.clear();
+        return to;
+    }
+
+    // Which agents were asked whether they hold a flow since the last call.
+    std::vector<endpoint> queried()
+    {
+        std::vector<endpoint> to;
+        for (const send_action& s : out.sends) {
+            if (std::holds_alternative<wire::segment_query>(s.body)) {
                 to.push_back(s.to);
             }
         }
@@ -123,7 +136,7 @@
             out.packets, [](const packet_send& p) { return decode_fake(p.packet)->resets; }));
     }
 
-    std::int64_t revision_ = 0;
+    std::int64_t last_revision = 0;
     table_state table;
     counters counted;
     segment_balancer balancer{{"zone-a", 8172, testing::fake_format}, counted};
@@ -201,15 +214,30 @@
     join(agent_a, "zone-a", "live");
     join(agent_b, "zone-b", "live");
     send(1, 77);
-    EXPECT_EQ(sent(segment_purpose::search).size(), 2U);
+    EXPECT_EQ(queried().size(), 2U);
     send(1, 77);
     EXPECT_TRUE(out.sends.empty());
     report(agent_b, 1, segment_outcome::held);
-    EXPECT_EQ(sent(segment_purpose::held), targets{agent_b});
+    EXPECT_EQ(sent(segment_purpose::held), (targets{agent_b, agent_b}));
     send(1, 78);
     EXPECT_EQ(sent(segment_purpose::held), targets{agent_b});
 }
 
+// Guards against a full link of the balancer: a search for a flow with much data must not send it to every
+// target.
+TEST_F(segment_balancer_test, only_a_target_that_may_hold_the_flow_gets_the_segment)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    send(1, 77);
+    EXPECT_TRUE(sent(segment_purpose::search).empty());
+    report(agent_a, 1, segment_outcome::absent);
+    report(agent_b, 1, segment_outcome::unsure);
+    EXPECT_EQ(sent(segment_purpose::search), targets{agent_b});
+    report(agent_b, 1, segment_outcome::held);
+    EXPECT_TRUE(sent(segment_purpose::held).empty());
+}
+
 // Guards against a reset of a flow that is open: one target is silent, or the table is old.
 TEST_F(segment_balancer_test, a_flow_is_reset_only_if_every_target_of_a_fresh_table_lacks_it)
 {
@@ -242,7 +270,7 @@
     out.clear();
     now += milliseconds(600);
     balancer.on_tick(now, milliseconds(50), out);
-    EXPECT_EQ(sent(segment_purpose::search), targets{agent_b});
+    EXPECT_EQ(queried(), targets{agent_b});
     report(agent_b, 1, segment_outcome::held);
     now += milliseconds(600);
     balancer.on_tick(now, milliseconds(50), out);
@@ -257,7 +285,7 @@
     join(agent_c, "zone-b", "chart");
     replace(2, "chart");
     send(1, 77);
-    EXPECT_EQ(sent(segment_purpose::search).size(), 2U);
+    EXPECT_EQ(queried().size(), 2U);
     report(agent_c, 1, segment_outcome::absent);
     now += std::chrono::seconds(1);
     balancer.on_tick(now, milliseconds(0), out);
@@ -277,7 +305,7 @@
     wire::replacement r = description(3, "live");
     r.routes.clear();
     c.__set_replace(r);
-    table.apply(revision{++revision_}, c);
+    table.apply(revision{++last_revision}, c);
     renew();
     open(1);
     EXPECT_EQ(resets(), 1U);
--- a/src/libperidotcleat/process/event_loop.cpp
+++ b/src/libperidotcleat/process/event_loop.cpp
@@ -185,7 +185,7 @@
         Poco::Net::DatagramSocket socket;
         socket.bind(to_socket_address(at), false);
         socket.setReceiveBufferSize(socket_buffer_bytes);
-        impl_->listeners.push_back({std::move(socket), std::move(handle)});
+        impl_->listeners.push_back({socket, std::move(handle)});
     } catch (const Poco::Exception& e) {
         return error{error_code::address_in_use, to_string(at) + ": " + e.displayText()};
     }
--- a/src/libperidotcleat/process/settings.cpp
+++ b/src/libperidotcleat/process/settings.cpp
@@ -104,8 +104,8 @@
 
 const char* settings_file_path() noexcept
 {
-    return std::getenv(
-        "PERIDOTCLEAT_SETTINGS");  // NOLINT(concurrency-mt-unsafe): the environment never changes
+    // NOLINTNEXTLINE(concurrency-mt-unsafe): nothing changes the environment
+    return std::getenv("PERIDOTCLEAT_SETTINGS");
 }
 
 result<settings> settings::parse(const std::string& usage, const std::vector<std::string>& arguments,
--- a/src/libperidotcleat/version/table_replace_test.cpp
+++ b/src/libperidotcleat/version/table_replace_test.cpp
@@ -29,17 +29,16 @@
     return r;
 }
 
-class table_replace_test : public ::testing::Test {
-protected:
+struct table_replace_test : public ::testing::Test {
     apply_outcome replace(const wire::replacement& r)
     {
         wire::change c;
-        c.time_ms = ++next_ * 1000;
+        c.time_ms = ++last * 1000;
         c.__set_replace(r);
-        return table.apply(revision{next_}, c);
+        return table.apply(revision{last}, c);
     }
 
-    std::int64_t next_ = 0;
+    std::int64_t last = 0;
     table_state table;
 };
 
@@ -91,7 +90,7 @@
     replace(description(2, {route_to(80, 1)}));
     ASSERT_EQ(table.routes().begin()->second.formers.size(), 1U);
     EXPECT_EQ(table.routes().begin()->second.formers[0].service_id, table.find_service("live")->value);
-    next_ += 200;
+    last += 200;
     wire::replacement r = description(3, {route_to(80, 1, 2)});
     replace(r);
     EXPECT_TRUE(table.routes().begin()->second.formers.empty());
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -2732,6 +2732,67 @@
 }
 
 
+segment_query::~segment_query() noexcept {
+}
+
+
+void segment_query::__set_key(const flow_key& val) {
+  this->key = val;
+}
+
+void segment_query::__set_service_key(const int64_t val) {
+  this->service_key = val;
+}
+
+void segment_query::__set_acknowledged(const int32_t val) {
+  this->acknowledged = val;
+}
+std::ostream& operator<<(std::ostream& out, const segment_query& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(segment_query &a, segment_query &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.service_key, b.service_key);
+  swap(a.acknowledged, b.acknowledged);
+}
+
+segment_query::segment_query(const segment_query& other236) noexcept {
+  key = other236.key;
+  service_key = other236.service_key;
+  acknowledged = other236.acknowledged;
+}
+segment_query::segment_query(segment_query&& other237) noexcept {
+  key = std::move(other237.key);
+  service_key = other237.service_key;
+  acknowledged = other237.acknowledged;
+}
+segment_query& segment_query::operator=(const segment_query& other238) noexcept {
+  key = other238.key;
+  service_key = other238.service_key;
+  acknowledged = other238.acknowledged;
+  return *this;
+}
+segment_query& segment_query::operator=(segment_query&& other239) noexcept {
+  key = std::move(other239.key);
+  service_key = other239.service_key;
+  acknowledged = other239.acknowledged;
+  return *this;
+}
+void segment_query::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "segment_query(";
+  out << "key=" << to_string(key);
+  out << ", " << "service_key=" << to_string(service_key);
+  out << ", " << "acknowledged=" << to_string(acknowledged);
+  out << ")";
+}
+
+
 segment_report::~segment_report() noexcept {
 }
 
@@ -2785,46 +2846,46 @@
   swap(a.__isset, b.__isset);
 }
 
-segment_report::segment_report(const segment_report& other236) {
-  key = other236.key;
-  service_key = other236.service_key;
-  outcome = other236.outcome;
-  load_permille = other236.load_permille;
-  sequence = other236.sequence;
-  reason = other236.reason;
-  packet = other236.packet;
-  __isset = other236.__isset;
-}
-segment_report::segment_report(segment_report&& other237) noexcept {
-  key = std::move(other237.key);
-  service_key = other237.service_key;
-  outcome = other237.outcome;
-  load_permille = other237.load_permille;
-  sequence = other237.sequence;
-  reason = other237.reason;
-  packet = std::move(other237.packet);
-  __isset = other237.__isset;
-}
-segment_report& segment_report::operator=(const segment_report& other238) {
-  key = other238.key;
-  service_key = other238.service_key;
-  outcome = other238.outcome;
-  load_permille = other238.load_permille;
-  sequence = other238.sequence;
-  reason = other238.reason;
-  packet = other238.packet;
-  __isset = other238.__isset;
+segment_report::segment_report(const segment_report& other240) {
+  key = other240.key;
+  service_key = other240.service_key;
+  outcome = other240.outcome;
+  load_permille = other240.load_permille;
+  sequence = other240.sequence;
+  reason = other240.reason;
+  packet = other240.packet;
+  __isset = other240.__isset;
+}
+segment_report::segment_report(segment_report&& other241) noexcept {
+  key = std::move(other241.key);
+  service_key = other241.service_key;
+  outcome = other241.outcome;
+  load_permille = other241.load_permille;
+  sequence = other241.sequence;
+  reason = other241.reason;
+  packet = std::move(other241.packet);
+  __isset = other241.__isset;
+}
+segment_report& segment_report::operator=(const segment_report& other242) {
+  key = other242.key;
+  service_key = other242.service_key;
+  outcome = other242.outcome;
+  load_permille = other242.load_permille;
+  sequence = other242.sequence;
+  reason = other242.reason;
+  packet = other242.packet;
+  __isset = other242.__isset;
   return *this;
 }
-segment_report& segment_report::operator=(segment_report&& other239) noexcept {
-  key = std::move(other239.key);
-  service_key = other239.service_key;
-  outcome = other239.outcome;
-  load_permille = other239.load_permille;
-  sequence = other239.sequence;
-  reason = other239.reason;
-  packet = std::move(other239.packet);
-  __isset = other239.__isset;
+segment_report& segment_report::operator=(segment_report&& other243) noexcept {
+  key = std::move(other243.key);
+  service_key = other243.service_key;
+  outcome = other243.outcome;
+  load_permille = other243.load_permille;
+  sequence = other243.sequence;
+  reason = other243.reason;
+  packet = std::move(other243.packet);
+  __isset = other243.__isset;
   return *this;
 }
 void segment_report::printTo(std::ostream& out) const {
@@ -2870,26 +2931,26 @@
   swap(a.accepting, b.accepting);
 }
 
-segment_load::segment_load(const segment_load& other240) noexcept {
-  service_key = other240.service_key;
-  load_permille = other240.load_permille;
-  accepting = other240.accepting;
+segment_load::segment_load(const segment_load& other244) noexcept {
+  service_key = other244.service_key;
+  load_permille = other244.load_permille;
+  accepting = other244.accepting;
 }
-segment_load::segment_load(segment_load&& other241) noexcept {
-  service_key = other241.service_key;
-  load_permille = other241.load_permille;
-  accepting = other241.accepting;
+segment_load::segment_load(segment_load&& other245) noexcept {
+  service_key = other245.service_key;
+  load_permille = other245.load_permille;
+  accepting = other245.accepting;
 }
-segment_load& segment_load::operator=(const segment_load& other242) noexcept {
-  service_key = other242.service_key;
-  load_permille = other242.load_permille;
-  accepting = other242.accepting;
+segment_load& segment_load::operator=(const segment_load& other246) noexcept {
+  service_key = other246.service_key;
+  load_permille = other246.load_permille;
+  accepting = other246.accepting;
   return *this;
 }
-segment_load& segment_load::operator=(segment_load&& other243) noexcept {
-  service_key = other243.service_key;
-  load_permille = other243.load_permille;
-  accepting = other243.accepting;
+segment_load& segment_load::operator=(segment_load&& other247) noexcept {
+  service_key = other247.service_key;
+  load_permille = other247.load_permille;
+  accepting = other247.accepting;
   return *this;
 }
 void segment_load::printTo(std::ostream& out) const {
@@ -2941,34 +3002,34 @@
   swap(a.last_term, b.last_term);
 }
 
-vote_request::vote_request(const vote_request& other244) noexcept {
-  pre_vote = other244.pre_vote;
-  term = other244.term;
-  candidate = other244.candidate;
-  last_index = other244.last_index;
-  last_term = other244.last_term;
+vote_request::vote_request(const vote_request& other248) noexcept {
+  pre_vote = other248.pre_vote;
+  term = other248.term;
+  candidate = other248.candidate;
+  last_index = other248.last_index;
+  last_term = other248.last_term;
 }
-vote_request::vote_request(vote_request&& other245) noexcept {
-  pre_vote = other245.pre_vote;
-  term = other245.term;
-  candidate = other245.candidate;
-  last_index = other245.last_index;
-  last_term = other245.last_term;
+vote_request::vote_request(vote_request&& other249) noexcept {
+  pre_vote = other249.pre_vote;
+  term = other249.term;
+  candidate = other249.candidate;
+  last_index = other249.last_index;
+  last_term = other249.last_term;
 }
-vote_request& vote_request::operator=(const vote_request& other246) noexcept {
-  pre_vote = other246.pre_vote;
-  term = other246.term;
-  candidate = other246.candidate;
-  last_index = other246.last_index;
-  last_term = other246.last_term;
+vote_request& vote_request::operator=(const vote_request& other250) noexcept {
+  pre_vote = other250.pre_vote;
+  term = other250.term;
+  candidate = other250.candidate;
+  last_index = other250.last_index;
+  last_term = other250.last_term;
   return *this;
 }
-vote_request& vote_request::operator=(vote_request&& other247) noexcept {
-  pre_vote = other247.pre_vote;
-  term = other247.term;
-  candidate = other247.candidate;
-  last_index = other247.last_index;
-  last_term = other247.last_term;
+vote_request& vote_request::operator=(vote_request&& other251) noexcept {
+  pre_vote = other251.pre_vote;
+  term = other251.term;
+  candidate = other251.candidate;
+  last_index = other251.last_index;
+  last_term = other251.last_term;
   return *this;
 }
 void vote_request::printTo(std::ostream& out) const {
@@ -3022,34 +3083,34 @@
   swap(a.candidate, b.candidate);
 }
 
-vote_reply::vote_reply(const vote_reply& other248) noexcept {
-  pre_vote = other248.pre_vote;
-  term = other248.term;
-  voter = other248.voter;
-  granted = other248.granted;
-  candidate = other248.candidate;
+vote_reply::vote_reply(const vote_reply& other252) noexcept {
+  pre_vote = other252.pre_vote;
+  term = other252.term;
+  voter = other252.voter;
+  granted = other252.granted;
+  candidate = other252.candidate;
 }
-vote_reply::vote_reply(vote_reply&& other249) noexcept {
-  pre_vote = other249.pre_vote;
-  term = other249.term;
-  voter = other249.voter;
-  granted = other249.granted;
-  candidate = other249.candidate;
+vote_reply::vote_reply(vote_reply&& other253) noexcept {
+  pre_vote = other253.pre_vote;
+  term = other253.term;
+  voter = other253.voter;
+  granted = other253.granted;
+  candidate = other253.candidate;
 }
-vote_reply& vote_reply::operator=(const vote_reply& other250) noexcept {
-  pre_vote = other250.pre_vote;
-  term = other250.term;
-  voter = other250.voter;
-  granted = other250.granted;
-  candidate = other250.candidate;
+vote_reply& vote_reply::operator=(const vote_reply& other254) noexcept {
+  pre_vote = other254.pre_vote;
+  term = other254.term;
+  voter = other254.voter;
+  granted = other254.granted;
+  candidate = other254.candidate;
   return *this;
 }
-vote_reply& vote_reply::operator=(vote_reply&& other251) noexcept {
-  pre_vote = other251.pre_vote;
-  term = other251.term;
-  voter = other251.voter;
-  granted = other251.granted;
-  candidate = other251.candidate;
+vote_reply& vote_reply::operator=(vote_reply&& other255) noexcept {
+  pre_vote = other255.pre_vote;
+  term = other255.term;
+  voter = other255.voter;
+  granted = other255.granted;
+  candidate = other255.candidate;
   return *this;
 }
 void vote_reply::printTo(std::ostream& out) const {
@@ -3118,46 +3179,46 @@
   swap(a.quorum_age_ms, b.quorum_age_ms);
 }
 
-append_request::append_request(const append_request& other258) {
-  term = other258.term;
-  leader = other258.leader;
-  previous_index = other258.previous_index;
-  previous_term = other258.previous_term;
-  commit = other258.commit;
-  round = other258.round;
-  entries = other258.entries;
-  quorum_age_ms = other258.quorum_age_ms;
-}
-append_request::append_request(append_request&& other259) noexcept {
-  term = other259.term;
-  leader = other259.leader;
-  previous_index = other259.previous_index;
-  previous_term = other259.previous_term;
-  commit = other259.commit;
-  round = other259.round;
-  entries = std::move(other259.entries);
-  quorum_age_ms = other259.quorum_age_ms;
-}
-append_request& append_request::operator=(const append_request& other260) {
-  term = other260.term;
-  leader = other260.leader;
-  previous_index = other260.previous_index;
-  previous_term = other260.previous_term;
-  commit = other260.commit;
-  round = other260.round;
-  entries = other260.entries;
-  quorum_age_ms = other260.quorum_age_ms;
-  return *this;
-}
-append_request& append_request::operator=(append_request&& other261) noexcept {
-  term = other261.term;
-  leader = other261.leader;
-  previous_index = other261.previous_index;
-  previous_term = other261.previous_term;
-  commit = other261.commit;
-  round = other261.round;
-  entries = std::move(other261.entries);
-  quorum_age_ms = other261.quorum_age_ms;
+append_request::append_request(const append_request& other262) {
+  term = other262.term;
+  leader = other262.leader;
+  previous_index = other262.previous_index;
+  previous_term = other262.previous_term;
+  commit = other262.commit;
+  round = other262.round;
+  entries = other262.entries;
+  quorum_age_ms = other262.quorum_age_ms;
+}
+append_request::append_request(append_request&& other263) noexcept {
+  term = other263.term;
+  leader = other263.leader;
+  previous_index = other263.previous_index;
+  previous_term = other263.previous_term;
+  commit = other263.commit;
+  round = other263.round;
+  entries = std::move(other263.entries);
+  quorum_age_ms = other263.quorum_age_ms;
+}
+append_request& append_request::operator=(const append_request& other264) {
+  term = other264.term;
+  leader = other264.leader;
+  previous_index = other264.previous_index;
+  previous_term = other264.previous_term;
+  commit = other264.commit;
+  round = other264.round;
+  entries = other264.entries;
+  quorum_age_ms = other264.quorum_age_ms;
+  return *this;
+}
+append_request& append_request::operator=(append_request&& other265) noexcept {
+  term = other265.term;
+  leader = other265.leader;
+  previous_index = other265.previous_index;
+  previous_term = other265.previous_term;
+  commit = other265.commit;
+  round = other265.round;
+  entries = std::move(other265.entries);
+  quorum_age_ms = other265.quorum_age_ms;
   return *this;
 }
 void append_request::printTo(std::ostream& out) const {
@@ -3214,34 +3275,34 @@
   swap(a.round, b.round);
 }
 
-append_reply::append_reply(const append_reply& other262) noexcept {
-  term = other262.term;
-  follower = other262.follower;
-  success = other262.success;
-  match = other262.match;
-  round = other262.round;
+append_reply::append_reply(const append_reply& other266) noexcept {
+  term = other266.term;
+  follower = other266.follower;
+  success = other266.success;
+  match = other266.match;
+  round = other266.round;
 }
-append_reply::append_reply(append_reply&& other263) noexcept {
-  term = other263.term;
-  follower = other263.follower;
-  success = other263.success;
-  match = other263.match;
-  round = other263.round;
+append_reply::append_reply(append_reply&& other267) noexcept {
+  term = other267.term;
+  follower = other267.follower;
+  success = other267.success;
+  match = other267.match;
+  round = other267.round;
 }
-append_reply& append_reply::operator=(const append_reply& other264) noexcept {
-  term = other264.term;
-  follower = other264.follower;
-  success = other264.success;
-  match = other264.match;
-  round = other264.round;
+append_reply& append_reply::operator=(const append_reply& other268) noexcept {
+  term = other268.term;
+  follower = other268.follower;
+  success = other268.success;
+  match = other268.match;
+  round = other268.round;
   return *this;
 }
-append_reply& append_reply::operator=(append_reply&& other265) noexcept {
-  term = other265.term;
-  follower = other265.follower;
-  success = other265.success;
-  match = other265.match;
-  round = other265.round;
+append_reply& append_reply::operator=(append_reply&& other269) noexcept {
+  term = other269.term;
+  follower = other269.follower;
+  success = other269.success;
+  match = other269.match;
+  round = other269.round;
   return *this;
 }
 void append_reply::printTo(std::ostream& out) const {
@@ -3315,50 +3376,50 @@
   swap(a.members, b.members);
 }
 
-snapshot_chunk::snapshot_chunk(const snapshot_chunk& other266) {
-  term = other266.term;
-  leader = other266.leader;
-  last_index = other266.last_index;
-  last_term = other266.last_term;
-  offset = other266.offset;
-  total = other266.total;
-  data = other266.data;
-  round = other266.round;
-  members = other266.members;
+snapshot_chunk::snapshot_chunk(const snapshot_chunk& other270) {
+  term = other270.term;
+  leader = other270.leader;
+  last_index = other270.last_index;
+  last_term = other270.last_term;
+  offset = other270.offset;
+  total = other270.total;
+  data = other270.data;
+  round = other270.round;
+  members = other270.members;
 }
-snapshot_chunk::snapshot_chunk(snapshot_chunk&& other267) noexcept {
-  term = other267.term;
-  leader = other267.leader;
-  last_index = other267.last_index;
-  last_term = other267.last_term;
-  offset = other267.offset;
-  total = other267.total;
-  data = std::move(other267.data);
-  round = other267.round;
-  members = std::move(other267.members);
+snapshot_chunk::snapshot_chunk(snapshot_chunk&& other271) noexcept {
+  term = other271.term;
+  leader = other271.leader;
+  last_index = other271.last_index;
+  last_term = other271.last_term;
+  offset = other271.offset;
+  total = other271.total;
+  data = std::move(other271.data);
+  round = other271.round;
+  members = std::move(other271.members);
 }
-snapshot_chunk& snapshot_chunk::operator=(const snapshot_chunk& other268) {
-  term = other268.term;
-  leader = other268.leader;
-  last_index = other268.last_index;
-  last_term = other268.last_term;
-  offset = other268.offset;
-  total = other268.total;
-  data = other268.data;
-  round = other268.round;
-  members = other268.members;
+snapshot_chunk& snapshot_chunk::operator=(const snapshot_chunk& other272) {
+  term = other272.term;
+  leader = other272.leader;
+  last_index = other272.last_index;
+  last_term = other272.last_term;
+  offset = other272.offset;
+  total = other272.total;
+  data = other272.data;
+  round = other272.round;
+  members = other272.members;
   return *this;
 }
-snapshot_chunk& snapshot_chunk::operator=(snapshot_chunk&& other269) noexcept {
-  term = other269.term;
-  leader = other269.leader;
-  last_index = other269.last_index;
-  last_term = other269.last_term;
-  offset = other269.offset;
-  total = other269.total;
-  data = std::move(other269.data);
-  round = other269.round;
-  members = std::move(other269.members);
+snapshot_chunk& snapshot_chunk::operator=(snapshot_chunk&& other273) noexcept {
+  term = other273.term;
+  leader = other273.leader;
+  last_index = other273.last_index;
+  last_term = other273.last_term;
+  offset = other273.offset;
+  total = other273.total;
+  data = std::move(other273.data);
+  round = other273.round;
+  members = std::move(other273.members);
   return *this;
 }
 void snapshot_chunk::printTo(std::ostream& out) const {
@@ -3416,34 +3477,34 @@
   swap(a.round, b.round);
 }
 
-snapshot_reply::snapshot_reply(const snapshot_reply& other270) noexcept {
-  term = other270.term;
-  follower = other270.follower;
-  last_index = other270.last_index;
-  next_offset = other270.next_offset;
-  round = other270.round;
+snapshot_reply::snapshot_reply(const snapshot_reply& other274) noexcept {
+  term = other274.term;
+  follower = other274.follower;
+  last_index = other274.last_index;
+  next_offset = other274.next_offset;
+  round = other274.round;
 }
-snapshot_reply::snapshot_reply(snapshot_reply&& other271) noexcept {
-  term = other271.term;
-  follower = other271.follower;
-  last_index = other271.last_index;
-  next_offset = other271.next_offset;
-  round = other271.round;
+snapshot_reply::snapshot_reply(snapshot_reply&& other275) noexcept {
+  term = other275.term;
+  follower = other275.follower;
+  last_index = other275.last_index;
+  next_offset = other275.next_offset;
+  round = other275.round;
 }
-snapshot_reply& snapshot_reply::operator=(const snapshot_reply& other272) noexcept {
-  term = other272.term;
-  follower = other272.follower;
-  last_index = other272.last_index;
-  next_offset = other272.next_offset;
-  round = other272.round;
+snapshot_reply& snapshot_reply::operator=(const snapshot_reply& other276) noexcept {
+  term = other276.term;
+  follower = other276.follower;
+  last_index = other276.last_index;
+  next_offset = other276.next_offset;
+  round = other276.round;
   return *this;
 }
-snapshot_reply& snapshot_reply::operator=(snapshot_reply&& other273) noexcept {
-  term = other273.term;
-  follower = other273.follower;
-  last_index = other273.last_index;
-  next_offset = other273.next_offset;
-  round = other273.round;
+snapshot_reply& snapshot_reply::operator=(snapshot_reply&& other277) noexcept {
+  term = other277.term;
+  follower = other277.follower;
+  last_index = other277.last_index;
+  next_offset = other277.next_offset;
+  round = other277.round;
   return *this;
 }
 void snapshot_reply::printTo(std::ostream& out) const {
@@ -3482,22 +3543,22 @@
   swap(a.replaces, b.replaces);
 }
 
-join_request::join_request(const join_request& other274) {
-  candidate = other274.candidate;
-  replaces = other274.replaces;
+join_request::join_request(const join_request& other278) {
+  candidate = other278.candidate;
+  replaces = other278.replaces;
 }
-join_request::join_request(join_request&& other275) noexcept {
-  candidate = std::move(other275.candidate);
-  replaces = other275.replaces;
+join_request::join_request(join_request&& other279) noexcept {
+  candidate = std::move(other279.candidate);
+  replaces = other279.replaces;
 }
-join_request& join_request::operator=(const join_request& other276) {
-  candidate = other276.candidate;
-  replaces = other276.replaces;
+join_request& join_request::operator=(const join_request& other280) {
+  candidate = other280.candidate;
+  replaces = other280.replaces;
   return *this;
 }
-join_request& join_request::operator=(join_request&& other277) noexcept {
-  candidate = std::move(other277.candidate);
-  replaces = other277.replaces;
+join_request& join_request::operator=(join_request&& other281) noexcept {
+  candidate = std::move(other281.candidate);
+  replaces = other281.replaces;
   return *this;
 }
 void join_request::printTo(std::ostream& out) const {
@@ -3538,26 +3599,26 @@
   swap(a.id, b.id);
 }
 
-cursor::cursor(const cursor& other278) noexcept {
-  revision = other278.revision;
-  kind = other278.kind;
-  id = other278.id;
+cursor::cursor(const cursor& other282) noexcept {
+  revision = other282.revision;
+  kind = other282.kind;
+  id = other282.id;
 }
-cursor::cursor(cursor&& other279) noexcept {
-  revision = other279.revision;
-  kind = other279.kind;
-  id = other279.id;
+cursor::cursor(cursor&& other283) noexcept {
+  revision = other283.revision;
+  kind = other283.kind;
+  id = other283.id;
 }
-cursor& cursor::operator=(const cursor& other280) noexcept {
-  revision = other280.revision;
-  kind = other280.kind;
-  id = other280.id;
+cursor& cursor::operator=(const cursor& other284) noexcept {
+  revision = other284.revision;
+  kind = other284.kind;
+  id = other284.id;
   return *this;
 }
-cursor& cursor::operator=(cursor&& other281) noexcept {
-  revision = other281.revision;
-  kind = other281.kind;
-  id = other281.id;
+cursor& cursor::operator=(cursor&& other285) noexcept {
+  revision = other285.revision;
+  kind = other285.kind;
+  id = other285.id;
   return *this;
 }
 void cursor::printTo(std::ostream& out) const {
@@ -3621,46 +3682,46 @@
   swap(a.__isset, b.__isset);
 }
 
-pull_request::pull_request(const pull_request& other282) noexcept {
-  node = other282.node;
-  nonce = other282.nonce;
-  revision = other282.revision;
-  position = other282.position;
-  full = other282.full;
-  digest = other282.digest;
-  parents = other282.parents;
-  __isset = other282.__isset;
-}
-pull_request::pull_request(pull_request&& other283) noexcept {
-  node = other283.node;
-  nonce = other283.nonce;
-  revision = other283.revision;
-  position = std::move(other283.position);
-  full = other283.full;
-  digest = other283.digest;
-  parents = other283.parents;
-  __isset = other283.__isset;
-}
-pull_request& pull_request::operator=(const pull_request& other284) noexcept {
-  node = other284.node;
-  nonce = other284.nonce;
-  revision = other284.revision;
-  position = other284.position;
-  full = other284.full;
-  digest = other284.digest;
-  parents = other284.parents;
-  __isset = other284.__isset;
-  return *this;
-}
-pull_request& pull_request::operator=(pull_request&& other285) noexcept {
-  node = other285.node;
-  nonce = other285.nonce;
-  revision = other285.revision;
-  position = std::move(other285.position);
-  full = other285.full;
-  digest = other285.digest;
-  parents = other285.parents;
-  __isset = other285.__isset;
+pull_request::pull_request(const pull_request& other286) noexcept {
+  node = other286.node;
+  nonce = other286.nonce;
+  revision = other286.revision;
+  position = other286.position;
+  full = other286.full;
+  digest = other286.digest;
+  parents = other286.parents;
+  __isset = other286.__isset;
+}
+pull_request::pull_request(pull_request&& other287) noexcept {
+  node = other287.node;
+  nonce = other287.nonce;
+  revision = other287.revision;
+  position = std::move(other287.position);
+  full = other287.full;
+  digest = other287.digest;
+  parents = other287.parents;
+  __isset = other287.__isset;
+}
+pull_request& pull_request::operator=(const pull_request& other288) noexcept {
+  node = other288.node;
+  nonce = other288.nonce;
+  revision = other288.revision;
+  position = other288.position;
+  full = other288.full;
+  digest = other288.digest;
+  parents = other288.parents;
+  __isset = other288.__isset;
+  return *this;
+}
+pull_request& pull_request::operator=(pull_request&& other289) noexcept {
+  node = other289.node;
+  nonce = other289.nonce;
+  revision = other289.revision;
+  position = std::move(other289.position);
+  full = other289.full;
+  digest = other289.digest;
+  parents = other289.parents;
+  __isset = other289.__isset;
   return *this;
 }
 void pull_request::printTo(std::ostream& out) const {
@@ -3759,70 +3820,70 @@
   swap(a.__isset, b.__isset);
 }
 
-table_page::table_page(const table_page& other316) {
-  revision = other316.revision;
-  config_version = other316.config_version;
-  full = other316.full;
-  start = other316.start;
-  position = other316.position;
-  complete = other316.complete;
-  digest = other316.digest;
-  services = other316.services;
-  targets = other316.targets;
-  nodes = other316.nodes;
-  tombstones = other316.tombstones;
-  routes = other316.routes;
-  document_version = other316.document_version;
-  __isset = other316.__isset;
-}
-table_page::table_page(table_page&& other317) noexcept {
-  revision = other317.revision;
-  config_version = other317.config_version;
-  full = other317.full;
-  start = std::move(other317.start);
-  position = std::move(other317.position);
-  complete = other317.complete;
-  digest = other317.digest;
-  services = std::move(other317.services);
-  targets = std::move(other317.targets);
-  nodes = std::move(other317.nodes);
-  tombstones = std::move(other317.tombstones);
-  routes = std::move(other317.routes);
-  document_version = other317.document_version;
-  __isset = other317.__isset;
-}
-table_page& table_page::operator=(const table_page& other318) {
-  revision = other318.revision;
-  config_version = other318.config_version;
-  full = other318.full;
-  start = other318.start;
-  position = other318.position;
-  complete = other318.complete;
-  digest = other318.digest;
-  services = other318.services;
-  targets = other318.targets;
-  nodes = other318.nodes;
-  tombstones = other318.tombstones;
-  routes = other318.routes;
-  document_version = other318.document_version;
-  __isset = other318.__isset;
-  return *this;
-}
-table_page& table_page::operator=(table_page&& other319) noexcept {
-  revision = other319.revision;
-  config_version = other319.config_version;
-  full = other319.full;
-  start = std::move(other319.start);
-  position = std::move(other319.position);
-  complete = other319.complete;
-  digest = other319.digest;
-  services = std::move(other319.services);
-  targets = std::move(other319.targets);
-  nodes = std::move(other319.nodes);
-  tombstones = std::move(other319.tombstones);
-  routes = std::move(other319.routes);
-  document_version = other319.document_version;
-  __isset = other319.__isset;
+table_page::table_page(const table_page& other320) {
+  revision = other320.revision;
+  config_version = other320.config_version;
+  full = other320.full;
+  start = other320.start;
+  position = other320.position;
+  complete = other320.complete;
+  digest = other320.digest;
+  services = other320.services;
+  targets = other320.targets;
+  nodes = other320.nodes;
+  tombstones = other320.tombstones;
+  routes = other320.routes;
+  document_version = other320.document_version;
+  __isset = other320.__isset;
+}
+table_page::table_page(table_page&& other321) noexcept {
+  revision = other321.revision;
+  config_version = other321.config_version;
+  full = other321.full;
+  start = std::move(other321.start);
+  position = std::move(other321.position);
+  complete = other321.complete;
+  digest = other321.digest;
+  services = std::move(other321.services);
+  targets = std::move(other321.targets);
+  nodes = std::move(other321.nodes);
+  tombstones = std::move(other321.tombstones);
+  routes = std::move(other321.routes);
+  document_version = other321.document_version;
+  __isset = other321.__isset;
+}
+table_page& table_page::operator=(const table_page& other322) {
+  revision = other322.revision;
+  config_version = other322.config_version;
+  full = other322.full;
+  start = other322.start;
+  position = other322.position;
+  complete = other322.complete;
+  digest = other322.digest;
+  services = other322.services;
+  targets = other322.targets;
+  nodes = other322.nodes;
+  tombstones = other322.tombstones;
+  routes = other322.routes;
+  document_version = other322.document_version;
+  __isset = other322.__isset;
+  return *this;
+}
+table_page& table_page::operator=(table_page&& other323) noexcept {
+  revision = other323.revision;
+  config_version = other323.config_version;
+  full = other323.full;
+  start = std::move(other323.start);
+  position = std::move(other323.position);
+  complete = other323.complete;
+  digest = other323.digest;
+  services = std::move(other323.services);
+  targets = std::move(other323.targets);
+  nodes = std::move(other323.nodes);
+  tombstones = std::move(other323.tombstones);
+  routes = std::move(other323.routes);
+  document_version = other323.document_version;
+  __isset = other323.__isset;
   return *this;
 }
 void table_page::printTo(std::ostream& out) const {
@@ -3887,38 +3948,38 @@
   swap(a.__isset, b.__isset);
 }
 
-pull_reply::pull_reply(const pull_reply& other326) {
-  nonce = other326.nonce;
-  age_ms = other326.age_ms;
-  page = other326.page;
-  crowded = other326.crowded;
-  parents = other326.parents;
-  __isset = other326.__isset;
-}
-pull_reply::pull_reply(pull_reply&& other327) noexcept {
-  nonce = other327.nonce;
-  age_ms = other327.age_ms;
-  page = std::move(other327.page);
-  crowded = other327.crowded;
-  parents = std::move(other327.parents);
-  __isset = other327.__isset;
-}
-pull_reply& pull_reply::operator=(const pull_reply& other328) {
-  nonce = other328.nonce;
-  age_ms = other328.age_ms;
-  page = other328.page;
-  crowded = other328.crowded;
-  parents = other328.parents;
-  __isset = other328.__isset;
-  return *this;
-}
-pull_reply& pull_reply::operator=(pull_reply&& other329) noexcept {
-  nonce = other329.nonce;
-  age_ms = other329.age_ms;
-  page = std::move(other329.page);
-  crowded = other329.crowded;
-  parents = std::move(other329.parents);
-  __isset = other329.__isset;
+pull_reply::pull_reply(const pull_reply& other330) {
+  nonce = other330.nonce;
+  age_ms = other330.age_ms;
+  page = other330.page;
+  crowded = other330.crowded;
+  parents = other330.parents;
+  __isset = other330.__isset;
+}
+pull_reply::pull_reply(pull_reply&& other331) noexcept {
+  nonce = other331.nonce;
+  age_ms = other331.age_ms;
+  page = std::move(other331.page);
+  crowded = other331.crowded;
+  parents = std::move(other331.parents);
+  __isset = other331.__isset;
+}
+pull_reply& pull_reply::operator=(const pull_reply& other332) {
+  nonce = other332.nonce;
+  age_ms = other332.age_ms;
+  page = other332.page;
+  crowded = other332.crowded;
+  parents = other332.parents;
+  __isset = other332.__isset;
+  return *this;
+}
+pull_reply& pull_reply::operator=(pull_reply&& other333) noexcept {
+  nonce = other333.nonce;
+  age_ms = other333.age_ms;
+  page = std::move(other333.page);
+  crowded = other333.crowded;
+  parents = std::move(other333.parents);
+  __isset = other333.__isset;
   return *this;
 }
 void pull_reply::printTo(std::ostream& out) const {
@@ -3952,18 +4013,18 @@
   swap(a.revision, b.revision);
 }
 
-change_notice::change_notice(const change_notice& other330) noexcept {
-  revision = other330.revision;
+change_notice::change_notice(const change_notice& other334) noexcept {
+  revision = other334.revision;
 }
-change_notice::change_notice(change_notice&& other331) noexcept {
-  revision = other331.revision;
+change_notice::change_notice(change_notice&& other335) noexcept {
+  revision = other335.revision;
 }
-change_notice& change_notice::operator=(const change_notice& other332) noexcept {
-  revision = other332.revision;
+change_notice& change_notice::operator=(const change_notice& other336) noexcept {
+  revision = other336.revision;
   return *this;
 }
-change_notice& change_notice::operator=(change_notice&& other333) noexcept {
-  revision = other333.revision;
+change_notice& change_notice::operator=(change_notice&& other337) noexcept {
+  revision = other337.revision;
   return *this;
 }
 void change_notice::printTo(std::ostream& out) const {
@@ -4047,62 +4108,62 @@
   swap(a.__isset, b.__isset);
 }
 
-announce::announce(const announce& other334) {
-  nonce = other334.nonce;
-  role = other334.role;
-  name = other334.name;
-  zone = other334.zone;
-  address = other334.address;
-  reply_to = other334.reply_to;
-  service_name = other334.service_name;
-  slots = other334.slots;
-  connections = other334.connections;
-  state = other334.state;
-  hops = other334.hops;
-  __isset = other334.__isset;
-}
-announce::announce(announce&& other335) noexcept {
-  nonce = other335.nonce;
-  role = other335.role;
-  name = std::move(other335.name);
-  zone = std::move(other335.zone);
-  address = std::move(other335.address);
-  reply_to = std::move(other335.reply_to);
-  service_name = std::move(other335.service_name);
-  slots = other335.slots;
-  connections = other335.connections;
-  state = other335.state;
-  hops = other335.hops;
-  __isset = other335.__isset;
-}
-announce& announce::operator=(const announce& other336) {
-  nonce = other336.nonce;
-  role = other336.role;
-  name = other336.name;
-  zone = other336.zone;
-  address = other336.address;
-  reply_to = other336.reply_to;
-  service_name = other336.service_name;
-  slots = other336.slots;
-  connections = other336.connections;
-  state = other336.state;
-  hops = other336.hops;
-  __isset = other336.__isset;
-  return *this;
-}
-announce& announce::operator=(announce&& other337) noexcept {
-  nonce = other337.nonce;
-  role = other337.role;
-  name = std::move(other337.name);
-  zone = std::move(other337.zone);
-  address = std::move(other337.address);
-  reply_to = std::move(other337.reply_to);
-  service_name = std::move(other337.service_name);
-  slots = other337.slots;
-  connections = other337.connections;
-  state = other337.state;
-  hops = other337.hops;
-  __isset = other337.__isset;
+announce::announce(const announce& other338) {
+  nonce = other338.nonce;
+  role = other338.role;
+  name = other338.name;
+  zone = other338.zone;
+  address = other338.address;
+  reply_to = other338.reply_to;
+  service_name = other338.service_name;
+  slots = other338.slots;
+  connections = other338.connections;
+  state = other338.state;
+  hops = other338.hops;
+  __isset = other338.__isset;
+}
+announce::announce(announce&& other339) noexcept {
+  nonce = other339.nonce;
+  role = other339.role;
+  name = std::move(other339.name);
+  zone = std::move(other339.zone);
+  address = std::move(other339.address);
+  reply_to = std::move(other339.reply_to);
+  service_name = std::move(other339.service_name);
+  slots = other339.slots;
+  connections = other339.connections;
+  state = other339.state;
+  hops = other339.hops;
+  __isset = other339.__isset;
+}
+announce& announce::operator=(const announce& other340) {
+  nonce = other340.nonce;
+  role = other340.role;
+  name = other340.name;
+  zone = other340.zone;
+  address = other340.address;
+  reply_to = other340.reply_to;
+  service_name = other340.service_name;
+  slots = other340.slots;
+  connections = other340.connections;
+  state = other340.state;
+  hops = other340.hops;
+  __isset = other340.__isset;
+  return *this;
+}
+announce& announce::operator=(announce&& other341) noexcept {
+  nonce = other341.nonce;
+  role = other341.role;
+  name = std::move(other341.name);
+  zone = std::move(other341.zone);
+  address = std::move(other341.address);
+  reply_to = std::move(other341.reply_to);
+  service_name = std::move(other341.service_name);
+  slots = other341.slots;
+  connections = other341.connections;
+  state = other341.state;
+  hops = other341.hops;
+  __isset = other341.__isset;
   return *this;
 }
 void announce::printTo(std::ostream& out) const {
@@ -4162,34 +4223,34 @@
   swap(a.retry_after_ms, b.retry_after_ms);
 }
 
-announce_reply::announce_reply(const announce_reply& other338) noexcept {
-  nonce = other338.nonce;
-  incarnation = other338.incarnation;
-  code = other338.code;
-  revision = other338.revision;
-  retry_after_ms = other338.retry_after_ms;
+announce_reply::announce_reply(const announce_reply& other342) noexcept {
+  nonce = other342.nonce;
+  incarnation = other342.incarnation;
+  code = other342.code;
+  revision = other342.revision;
+  retry_after_ms = other342.retry_after_ms;
 }
-announce_reply::announce_reply(announce_reply&& other339) noexcept {
-  nonce = other339.nonce;
-  incarnation = other339.incarnation;
-  code = other339.code;
-  revision = other339.revision;
-  retry_after_ms = other339.retry_after_ms;
+announce_reply::announce_reply(announce_reply&& other343) noexcept {
+  nonce = other343.nonce;
+  incarnation = other343.incarnation;
+  code = other343.code;
+  revision = other343.revision;
+  retry_after_ms = other343.retry_after_ms;
 }
-announce_reply& announce_reply::operator=(const announce_reply& other340) noexcept {
-  nonce = other340.nonce;
-  incarnation = other340.incarnation;
-  code = other340.code;
-  revision = other340.revision;
-  retry_after_ms = other340.retry_after_ms;
+announce_reply& announce_reply::operator=(const announce_reply& other344) noexcept {
+  nonce = other344.nonce;
+  incarnation = other344.incarnation;
+  code = other344.code;
+  revision = other344.revision;
+  retry_after_ms = other344.retry_after_ms;
   return *this;
 }
-announce_reply& announce_reply::operator=(announce_reply&& other341) noexcept {
-  nonce = other341.nonce;
-  incarnation = other341.incarnation;
-  code = other341.code;
-  revision = other341.revision;
-  retry_after_ms = other341.retry_after_ms;
+announce_reply& announce_reply::operator=(announce_reply&& other345) noexcept {
+  nonce = other345.nonce;
+  incarnation = other345.incarnation;
+  code = other345.code;
+  revision = other345.revision;
+  retry_after_ms = other345.retry_after_ms;
   return *this;
 }
 void announce_reply::printTo(std::ostream& out) const {
@@ -4233,26 +4294,26 @@
   swap(a.silent_ms, b.silent_ms);
 }
 
-child_report::child_report(const child_report& other342) noexcept {
-  node = other342.node;
-  revision = other342.revision;
-  silent_ms = other342.silent_ms;
+child_report::child_report(const child_report& other346) noexcept {
+  node = other346.node;
+  revision = other346.revision;
+  silent_ms = other346.silent_ms;
 }
-child_report::child_report(child_report&& other343) noexcept {
-  node = other343.node;
-  revision = other343.revision;
-  silent_ms = other343.silent_ms;
+child_report::child_report(child_report&& other347) noexcept {
+  node = other347.node;
+  revision = other347.revision;
+  silent_ms = other347.silent_ms;
 }
-child_report& child_report::operator=(const child_report& other344) noexcept {
-  node = other344.node;
-  revision = other344.revision;
-  silent_ms = other344.silent_ms;
+child_report& child_report::operator=(const child_report& other348) noexcept {
+  node = other348.node;
+  revision = other348.revision;
+  silent_ms = other348.silent_ms;
   return *this;
 }
-child_report& child_report::operator=(child_report&& other345) noexcept {
-  node = other345.node;
-  revision = other345.revision;
-  silent_ms = other345.silent_ms;
+child_report& child_report::operator=(child_report&& other349) noexcept {
+  node = other349.node;
+  revision = other349.revision;
+  silent_ms = other349.silent_ms;
   return *this;
 }
 void child_report::printTo(std::ostream& out) const {
@@ -4314,42 +4375,42 @@
   swap(a.live_children, b.live_children);
 }
 
-relay_report::relay_report(const relay_report& other352) {
-  relay = other352.relay;
-  nonce = other352.nonce;
-  sequence = other352.sequence;
-  full = other352.full;
-  children = other352.children;
-  lowest_revision = other352.lowest_revision;
-  live_children = other352.live_children;
-}
-relay_report::relay_report(relay_report&& other353) noexcept {
-  relay = other353.relay;
-  nonce = other353.nonce;
-  sequence = other353.sequence;
-  full = other353.full;
-  children = std::move(other353.children);
-  lowest_revision = other353.lowest_revision;
-  live_children = other353.live_children;
-}
-relay_report& relay_report::operator=(const relay_report& other354) {
-  relay = other354.relay;
-  nonce = other354.nonce;
-  sequence = other354.sequence;
-  full = other354.full;
-  children = other354.children;
-  lowest_revision = other354.lowest_revision;
-  live_children = other354.live_children;
-  return *this;
-}
-relay_report& relay_report::operator=(relay_report&& other355) noexcept {
-  relay = other355.relay;
-  nonce = other355.nonce;
-  sequence = other355.sequence;
-  full = other355.full;
-  children = std::move(other355.children);
-  lowest_revision = other355.lowest_revision;
-  live_children = other355.live_children;
+relay_report::relay_report(const relay_report& other356) {
+  relay = other356.relay;
+  nonce = other356.nonce;
+  sequence = other356.sequence;
+  full = other356.full;
+  children = other356.children;
+  lowest_revision = other356.lowest_revision;
+  live_children = other356.live_children;
+}
+relay_report::relay_report(relay_report&& other357) noexcept {
+  relay = other357.relay;
+  nonce = other357.nonce;
+  sequence = other357.sequence;
+  full = other357.full;
+  children = std::move(other357.children);
+  lowest_revision = other357.lowest_revision;
+  live_children = other357.live_children;
+}
+relay_report& relay_report::operator=(const relay_report& other358) {
+  relay = other358.relay;
+  nonce = other358.nonce;
+  sequence = other358.sequence;
+  full = other358.full;
+  children = other358.children;
+  lowest_revision = other358.lowest_revision;
+  live_children = other358.live_children;
+  return *this;
+}
+relay_report& relay_report::operator=(relay_report&& other359) noexcept {
+  relay = other359.relay;
+  nonce = other359.nonce;
+  sequence = other359.sequence;
+  full = other359.full;
+  children = std::move(other359.children);
+  lowest_revision = other359.lowest_revision;
+  live_children = other359.live_children;
   return *this;
 }
 void relay_report::printTo(std::ostream& out) const {
@@ -4395,26 +4456,26 @@
   swap(a.send_full, b.send_full);
 }
 
-relay_report_reply::relay_report_reply(const relay_report_reply& other356) noexcept {
-  nonce = other356.nonce;
-  sequence = other356.sequence;
-  send_full = other356.send_full;
+relay_report_reply::relay_report_reply(const relay_report_reply& other360) noexcept {
+  nonce = other360.nonce;
+  sequence = other360.sequence;
+  send_full = other360.send_full;
 }
-relay_report_reply::relay_report_reply(relay_report_reply&& other357) noexcept {
-  nonce = other357.nonce;
-  sequence = other357.sequence;
-  send_full = other357.send_full;
+relay_report_reply::relay_report_reply(relay_report_reply&& other361) noexcept {
+  nonce = other361.nonce;
+  sequence = other361.sequence;
+  send_full = other361.send_full;
 }
-relay_report_reply& relay_report_reply::operator=(const relay_report_reply& other358) noexcept {
-  nonce = other358.nonce;
-  sequence = other358.sequence;
-  send_full = other358.send_full;
+relay_report_reply& relay_report_reply::operator=(const relay_report_reply& other362) noexcept {
+  nonce = other362.nonce;
+  sequence = other362.sequence;
+  send_full = other362.send_full;
   return *this;
 }
-relay_report_reply& relay_report_reply::operator=(relay_report_reply&& other359) noexcept {
-  nonce = other359.nonce;
-  sequence = other359.sequence;
-  send_full = other359.send_full;
+relay_report_reply& relay_report_reply::operator=(relay_report_reply&& other363) noexcept {
+  nonce = other363.nonce;
+  sequence = other363.sequence;
+  send_full = other363.send_full;
   return *this;
 }
 void relay_report_reply::printTo(std::ostream& out) const {
@@ -4446,18 +4507,18 @@
   swap(a.nonce, b.nonce);
 }
 
-flow_open::flow_open(const flow_open& other360) noexcept {
-  nonce = other360.nonce;
+flow_open::flow_open(const flow_open& other364) noexcept {
+  nonce = other364.nonce;
 }
-flow_open::flow_open(flow_open&& other361) noexcept {
-  nonce = other361.nonce;
+flow_open::flow_open(flow_open&& other365) noexcept {
+  nonce = other365.nonce;
 }
-flow_open& flow_open::operator=(const flow_open& other362) noexcept {
-  nonce = other362.nonce;
+flow_open& flow_open::operator=(const flow_open& other366) noexcept {
+  nonce = other366.nonce;
   return *this;
 }
-flow_open& flow_open::operator=(flow_open&& other363) noexcept {
-  nonce = other363.nonce;
+flow_open& flow_open::operator=(flow_open&& other367) noexcept {
+  nonce = other367.nonce;
   return *this;
 }
 void flow_open::printTo(std::ostream& out) const {
@@ -4497,26 +4558,26 @@
   swap(a.token, b.token);
 }
 
-flow_open_ack::flow_open_ack(const flow_open_ack& other364) noexcept {
-  nonce = other364.nonce;
-  incarnation = other364.incarnation;
-  token = other364.token;
+flow_open_ack::flow_open_ack(const flow_open_ack& other368) noexcept {
+  nonce = other368.nonce;
+  incarnation = other368.incarnation;
+  token = other368.token;
 }
-flow_open_ack::flow_open_ack(flow_open_ack&& other365) noexcept {
-  nonce = other365.nonce;
-  incarnation = other365.incarnation;
-  token = other365.token;
+flow_open_ack::flow_open_ack(flow_open_ack&& other369) noexcept {
+  nonce = other369.nonce;
+  incarnation = other369.incarnation;
+  token = other369.token;
 }
-flow_open_ack& flow_open_ack::operator=(const flow_open_ack& other366) noexcept {
-  nonce = other366.nonce;
-  incarnation = other366.incarnation;
-  token = other366.token;
+flow_open_ack& flow_open_ack::operator=(const flow_open_ack& other370) noexcept {
+  nonce = other370.nonce;
+  incarnation = other370.incarnation;
+  token = other370.token;
   return *this;
 }
-flow_open_ack& flow_open_ack::operator=(flow_open_ack&& other367) noexcept {
-  nonce = other367.nonce;
-  incarnation = other367.incarnation;
-  token = other367.token;
+flow_open_ack& flow_open_ack::operator=(flow_open_ack&& other371) noexcept {
+  nonce = other371.nonce;
+  incarnation = other371.incarnation;
+  token = other371.token;
   return *this;
 }
 void flow_open_ack::printTo(std::ostream& out) const {
@@ -4553,22 +4614,22 @@
   swap(a.reason, b.reason);
 }
 
-flow_refused::flow_refused(const flow_refused& other368) noexcept {
-  nonce = other368.nonce;
-  reason = other368.reason;
+flow_refused::flow_refused(const flow_refused& other372) noexcept {
+  nonce = other372.nonce;
+  reason = other372.reason;
 }
-flow_refused::flow_refused(flow_refused&& other369) noexcept {
-  nonce = other369.nonce;
-  reason = other369.reason;
+flow_refused::flow_refused(flow_refused&& other373) noexcept {
+  nonce = other373.nonce;
+  reason = other373.reason;
 }
-flow_refused& flow_refused::operator=(const flow_refused& other370) noexcept {
-  nonce = other370.nonce;
-  reason = other370.reason;
+flow_refused& flow_refused::operator=(const flow_refused& other374) noexcept {
+  nonce = other374.nonce;
+  reason = other374.reason;
   return *this;
 }
-flow_refused& flow_refused::operator=(flow_refused&& other371) noexcept {
-  nonce = other371.nonce;
-  reason = other371.reason;
+flow_refused& flow_refused::operator=(flow_refused&& other375) noexcept {
+  nonce = other375.nonce;
+  reason = other375.reason;
   return *this;
 }
 void flow_refused::printTo(std::ostream& out) const {
@@ -4634,46 +4695,46 @@
   swap(a.body, b.body);
 }
 
-request::request(const request& other372) {
-  incarnation = other372.incarnation;
-  token = other372.token;
-  sequence = other372.sequence;
-  settled_below = other372.settled_below;
-  idempotent = other372.idempotent;
-  remaining_ms = other372.remaining_ms;
-  method = other372.method;
-  body = other372.body;
-}
-request::request(request&& other373) noexcept {
-  incarnation = other373.incarnation;
-  token = other373.token;
-  sequence = other373.sequence;
-  settled_below = other373.settled_below;
-  idempotent = other373.idempotent;
-  remaining_ms = other373.remaining_ms;
-  method = std::move(other373.method);
-  body = std::move(other373.body);
-}
-request& request::operator=(const request& other374) {
-  incarnation = other374.incarnation;
-  token = other374.token;
-  sequence = other374.sequence;
-  settled_below = other374.settled_below;
-  idempotent = other374.idempotent;
-  remaining_ms = other374.remaining_ms;
-  method = other374.method;
-  body = other374.body;
-  return *this;
-}
-request& request::operator=(request&& other375) noexcept {
-  incarnation = other375.incarnation;
-  token = other375.token;
-  sequence = other375.sequence;
-  settled_below = other375.settled_below;
-  idempotent = other375.idempotent;
-  remaining_ms = other375.remaining_ms;
-  method = std::move(other375.method);
-  body = std::move(other375.body);
+request::request(const request& other376) {
+  incarnation = other376.incarnation;
+  token = other376.token;
+  sequence = other376.sequence;
+  settled_below = other376.settled_below;
+  idempotent = other376.idempotent;
+  remaining_ms = other376.remaining_ms;
+  method = other376.method;
+  body = other376.body;
+}
+request::request(request&& other377) noexcept {
+  incarnation = other377.incarnation;
+  token = other377.token;
+  sequence = other377.sequence;
+  settled_below = other377.settled_below;
+  idempotent = other377.idempotent;
+  remaining_ms = other377.remaining_ms;
+  method = std::move(other377.method);
+  body = std::move(other377.body);
+}
+request& request::operator=(const request& other378) {
+  incarnation = other378.incarnation;
+  token = other378.token;
+  sequence = other378.sequence;
+  settled_below = other378.settled_below;
+  idempotent = other378.idempotent;
+  remaining_ms = other378.remaining_ms;
+  method = other378.method;
+  body = other378.body;
+  return *this;
+}
+request& request::operator=(request&& other379) noexcept {
+  incarnation = other379.incarnation;
+  token = other379.token;
+  sequence = other379.sequence;
+  settled_below = other379.settled_below;
+  idempotent = other379.idempotent;
+  remaining_ms = other379.remaining_ms;
+  method = std::move(other379.method);
+  body = std::move(other379.body);
   return *this;
 }
 void request::printTo(std::ostream& out) const {
@@ -4740,42 +4801,42 @@
   swap(a.bytes, b.bytes);
 }
 
-response_part::response_part(const response_part& other376) {
-  token = other376.token;
-  sequence = other376.sequence;
-  index = other376.index;
-  count = other376.count;
-  total_length = other376.total_length;
-  checksum = other376.checksum;
-  bytes = other376.bytes;
+response_part::response_part(const response_part& other380) {
+  token = other380.token;
+  sequence = other380.sequence;
+  index = other380.index;
+  count = other380.count;
+  total_length = other380.total_length;
+  checksum = other380.checksum;
+  bytes = other380.bytes;
 }
-response_part::response_part(response_part&& other377) noexcept {
-  token = other377.token;
-  sequence = other377.sequence;
-  index = other377.index;
-  count = other377.count;
-  total_length = other377.total_length;
-  checksum = other377.checksum;
-  bytes = std::move(other377.bytes);
+response_part::response_part(response_part&& other381) noexcept {
+  token = other381.token;
+  sequence = other381.sequence;
+  index = other381.index;
+  count = other381.count;
+  total_length = other381.total_length;
+  checksum = other381.checksum;
+  bytes = std::move(other381.bytes);
 }
-response_part& response_part::operator=(const response_part& other378) {
-  token = other378.token;
-  sequence = other378.sequence;
-  index = other378.index;
-  count = other378.count;
-  total_length = other378.total_length;
-  checksum = other378.checksum;
-  bytes = other378.bytes;
+response_part& response_part::operator=(const response_part& other382) {
+  token = other382.token;
+  sequence = other382.sequence;
+  index = other382.index;
+  count = other382.count;
+  total_length = other382.total_length;
+  checksum = other382.checksum;
+  bytes = other382.bytes;
   return *this;
 }
-response_part& response_part::operator=(response_part&& other379) noexcept {
-  token = other379.token;
-  sequence = other379.sequence;
-  index = other379.index;
-  count = other379.count;
-  total_length = other379.total_length;
-  checksum = other379.checksum;
-  bytes = std::move(other379.bytes);
+response_part& response_part::operator=(response_part&& other383) noexcept {
+  token = other383.token;
+  sequence = other383.sequence;
+  index = other383.index;
+  count = other383.count;
+  total_length = other383.total_length;
+  checksum = other383.checksum;
+  bytes = std::move(other383.bytes);
   return *this;
 }
 void response_part::printTo(std::ostream& out) const {
@@ -4826,30 +4887,30 @@
   swap(a.reason, b.reason);
 }
 
-request_result::request_result(const request_result& other380) noexcept {
-  token = other380.token;
-  sequence = other380.sequence;
-  status = other380.status;
-  reason = other380.reason;
+request_result::request_result(const request_result& other384) noexcept {
+  token = other384.token;
+  sequence = other384.sequence;
+  status = other384.status;
+  reason = other384.reason;
 }
-request_result::request_result(request_result&& other381) noexcept {
-  token = other381.token;
-  sequence = other381.sequence;
-  status = other381.status;
-  reason = other381.reason;
+request_result::request_result(request_result&& other385) noexcept {
+  token = other385.token;
+  sequence = other385.sequence;
+  status = other385.status;
+  reason = other385.reason;
 }
-request_result& request_result::operator=(const request_result& other382) noexcept {
-  token = other382.token;
-  sequence = other382.sequence;
-  status = other382.status;
-  reason = other382.reason;
+request_result& request_result::operator=(const request_result& other386) noexcept {
+  token = other386.token;
+  sequence = other386.sequence;
+  status = other386.status;
+  reason = other386.reason;
   return *this;
 }
-request_result& request_result::operator=(request_result&& other383) noexcept {
-  token = other383.token;
-  sequence = other383.sequence;
-  status = other383.status;
-  reason = other383.reason;
+request_result& request_result::operator=(request_result&& other387) noexcept {
+  token = other387.token;
+  sequence = other387.sequence;
+  status = other387.status;
+  reason = other387.reason;
   return *this;
 }
 void request_result::printTo(std::ostream& out) const {
@@ -4892,26 +4953,26 @@
   swap(a.missing, b.missing);
 }
 
-part_request::part_request(const part_request& other390) {
-  token = other390.token;
-  sequence = other390.sequence;
-  missing = other390.missing;
+part_request::part_request(const part_request& other394) {
+  token = other394.token;
+  sequence = other394.sequence;
+  missing = other394.missing;
 }
-part_request::part_request(part_request&& other391) noexcept {
-  token = other391.token;
-  sequence = other391.sequence;
-  missing = std::move(other391.missing);
+part_request::part_request(part_request&& other395) noexcept {
+  token = other395.token;
+  sequence = other395.sequence;
+  missing = std::move(other395.missing);
 }
-part_request& part_request::operator=(const part_request& other392) {
-  token = other392.token;
-  sequence = other392.sequence;
-  missing = other392.missing;
+part_request& part_request::operator=(const part_request& other396) {
+  token = other396.token;
+  sequence = other396.sequence;
+  missing = other396.missing;
   return *this;
 }
-part_request& part_request::operator=(part_request&& other393) noexcept {
-  token = other393.token;
-  sequence = other393.sequence;
-  missing = std::move(other393.missing);
+part_request& part_request::operator=(part_request&& other397) noexcept {
+  token = other397.token;
+  sequence = other397.sequence;
+  missing = std::move(other397.missing);
   return *this;
 }
 void part_request::printTo(std::ostream& out) const {
@@ -4953,26 +5014,26 @@
   swap(a.sequence, b.sequence);
 }
 
-request_cancel::request_cancel(const request_cancel& other394) noexcept {
-  incarnation = other394.incarnation;
-  token = other394.token;
-  sequence = other394.sequence;
+request_cancel::request_cancel(const request_cancel& other398) noexcept {
+  incarnation = other398.incarnation;
+  token = other398.token;
+  sequence = other398.sequence;
 }
-request_cancel::request_cancel(request_cancel&& other395) noexcept {
-  incarnation = other395.incarnation;
-  token = other395.token;
-  sequence = other395.sequence;
+request_cancel::request_cancel(request_cancel&& other399) noexcept {
+  incarnation = other399.incarnation;
+  token = other399.token;
+  sequence = other399.sequence;
 }
-request_cancel& request_cancel::operator=(const request_cancel& other396) noexcept {
-  incarnation = other396.incarnation;
-  token = other396.token;
-  sequence = other396.sequence;
+request_cancel& request_cancel::operator=(const request_cancel& other400) noexcept {
+  incarnation = other400.incarnation;
+  token = other400.token;
+  sequence = other400.sequence;
   return *this;
 }
-request_cancel& request_cancel::operator=(request_cancel&& other397) noexcept {
-  incarnation = other397.incarnation;
-  token = other397.token;
-  sequence = other397.sequence;
+request_cancel& request_cancel::operator=(request_cancel&& other401) noexcept {
+  incarnation = other401.incarnation;
+  token = other401.token;
+  sequence = other401.sequence;
   return *this;
 }
 void request_cancel::printTo(std::ostream& out) const {
@@ -5009,22 +5070,22 @@
   swap(a.token, b.token);
 }
 
-flow_close::flow_close(const flow_close& other398) noexcept {
-  incarnation = other398.incarnation;
-  token = other398.token;
+flow_close::flow_close(const flow_close& other402) noexcept {
+  incarnation = other402.incarnation;
+  token = other402.token;
 }
-flow_close::flow_close(flow_close&& other399) noexcept {
-  incarnation = other399.incarnation;
-  token = other399.token;
+flow_close::flow_close(flow_close&& other403) noexcept {
+  incarnation = other403.incarnation;
+  token = other403.token;
 }
-flow_close& flow_close::operator=(const flow_close& other400) noexcept {
-  incarnation = other400.incarnation;
-  token = other400.token;
+flow_close& flow_close::operator=(const flow_close& other404) noexcept {
+  incarnation = other404.incarnation;
+  token = other404.token;
   return *this;
 }
-flow_close& flow_close::operator=(flow_close&& other401) noexcept {
-  incarnation = other401.incarnation;
-  token = other401.token;
+flow_close& flow_close::operator=(flow_close&& other405) noexcept {
+  incarnation = other405.incarnation;
+  token = other405.token;
   return *this;
 }
 void flow_close::printTo(std::ostream& out) const {
@@ -5055,18 +5116,18 @@
   swap(a.token, b.token);
 }
 
-flow_close_ack::flow_close_ack(const flow_close_ack& other402) noexcept {
-  token = other402.token;
+flow_close_ack::flow_close_ack(const flow_close_ack& other406) noexcept {
+  token = other406.token;
 }
-flow_close_ack::flow_close_ack(flow_close_ack&& other403) noexcept {
-  token = other403.token;
+flow_close_ack::flow_close_ack(flow_close_ack&& other407) noexcept {
+  token = other407.token;
 }
-flow_close_ack& flow_close_ack::operator=(const flow_close_ack& other404) noexcept {
-  token = other404.token;
+flow_close_ack& flow_close_ack::operator=(const flow_close_ack& other408) noexcept {
+  token = other408.token;
   return *this;
 }
-flow_close_ack& flow_close_ack::operator=(flow_close_ack&& other405) noexcept {
-  token = other405.token;
+flow_close_ack& flow_close_ack::operator=(flow_close_ack&& other409) noexcept {
+  token = other409.token;
   return *this;
 }
 void flow_close_ack::printTo(std::ostream& out) const {
@@ -5101,22 +5162,22 @@
   swap(a.token, b.token);
 }
 
-flow_reset::flow_reset(const flow_reset& other406) noexcept {
-  incarnation = other406.incarnation;
-  token = other406.token;
+flow_reset::flow_reset(const flow_reset& other410) noexcept {
+  incarnation = other410.incarnation;
+  token = other410.token;
 }
-flow_reset::flow_reset(flow_reset&& other407) noexcept {
-  incarnation = other407.incarnation;
-  token = other407.token;
+flow_reset::flow_reset(flow_reset&& other411) noexcept {
+  incarnation = other411.incarnation;
+  token = other411.token;
 }
-flow_reset& flow_reset::operator=(const flow_reset& other408) noexcept {
-  incarnation = other408.incarnation;
-  token = other408.token;
+flow_reset& flow_reset::operator=(const flow_reset& other412) noexcept {
+  incarnation = other412.incarnation;
+  token = other412.token;
   return *this;
 }
-flow_reset& flow_reset::operator=(flow_reset&& other409) noexcept {
-  incarnation = other409.incarnation;
-  token = other409.token;
+flow_reset& flow_reset::operator=(flow_reset&& other413) noexcept {
+  incarnation = other413.incarnation;
+  token = other413.token;
   return *this;
 }
 void flow_reset::printTo(std::ostream& out) const {
@@ -5157,26 +5218,26 @@
   swap(a.bytes, b.bytes);
 }
 
-push::push(const push& other410) {
-  token = other410.token;
-  sequence = other410.sequence;
-  bytes = other410.bytes;
+push::push(const push& other414) {
+  token = other414.token;
+  sequence = other414.sequence;
+  bytes = other414.bytes;
 }
-push::push(push&& other411) noexcept {
-  token = other411.token;
-  sequence = other411.sequence;
-  bytes = std::move(other411.bytes);
+push::push(push&& other415) noexcept {
+  token = other415.token;
+  sequence = other415.sequence;
+  bytes = std::move(other415.bytes);
 }
-push& push::operator=(const push& other412) {
-  token = other412.token;
-  sequence = other412.sequence;
-  bytes = other412.bytes;
+push& push::operator=(const push& other416) {
+  token = other416.token;
+  sequence = other416.sequence;
+  bytes = other416.bytes;
   return *this;
 }
-push& push::operator=(push&& other413) noexcept {
-  token = other413.token;
-  sequence = other413.sequence;
-  bytes = std::move(other413.bytes);
+push& push::operator=(push&& other417) noexcept {
+  token = other417.token;
+  sequence = other417.sequence;
+  bytes = std::move(other417.bytes);
   return *this;
 }
 void push::printTo(std::ostream& out) const {
@@ -5213,22 +5274,22 @@
   swap(a.sequence, b.sequence);
 }
 
-push_ack::push_ack(const push_ack& other414) noexcept {
-  token = other414.token;
-  sequence = other414.sequence;
+push_ack::push_ack(const push_ack& other418) noexcept {
+  token = other418.token;
+  sequence = other418.sequence;
 }
-push_ack::push_ack(push_ack&& other415) noexcept {
-  token = other415.token;
-  sequence = other415.sequence;
+push_ack::push_ack(push_ack&& other419) noexcept {
+  token = other419.token;
+  sequence = other419.sequence;
 }
-push_ack& push_ack::operator=(const push_ack& other416) noexcept {
-  token = other416.token;
-  sequence = other416.sequence;
+push_ack& push_ack::operator=(const push_ack& other420) noexcept {
+  token = other420.token;
+  sequence = other420.sequence;
   return *this;
 }
-push_ack& push_ack::operator=(push_ack&& other417) noexcept {
-  token = other417.token;
-  sequence = other417.sequence;
+push_ack& push_ack::operator=(push_ack&& other421) noexcept {
+  token = other421.token;
+  sequence = other421.sequence;
   return *this;
 }
 void push_ack::printTo(std::ostream& out) const {
@@ -5259,18 +5320,18 @@
   swap(a.token, b.token);
 }
 
-flow_keepalive::flow_keepalive(const flow_keepalive& other418) noexcept {
-  token = other418.token;
+flow_keepalive::flow_keepalive(const flow_keepalive& other422) noexcept {
+  token = other422.token;
 }
-flow_keepalive::flow_keepalive(flow_keepalive&& other419) noexcept {
-  token = other419.token;
+flow_keepalive::flow_keepalive(flow_keepalive&& other423) noexcept {
+  token = other423.token;
 }
-flow_keepalive& flow_keepalive::operator=(const flow_keepalive& other420) noexcept {
-  token = other420.token;
+flow_keepalive& flow_keepalive::operator=(const flow_keepalive& other424) noexcept {
+  token = other424.token;
   return *this;
 }
-flow_keepalive& flow_keepalive::operator=(flow_keepalive&& other421) noexcept {
-  token = other421.token;
+flow_keepalive& flow_keepalive::operator=(flow_keepalive&& other425) noexcept {
+  token = other425.token;
   return *this;
 }
 void flow_keepalive::printTo(std::ostream& out) const {
@@ -5300,18 +5361,18 @@
   swap(a.token, b.token);
 }
 
-flow_draining::flow_draining(const flow_draining& other422) noexcept {
-  token = other422.token;
+flow_draining::flow_draining(const flow_draining& other426) noexcept {
+  token = other426.token;
 }
-flow_draining::flow_draining(flow_draining&& other423) noexcept {
-  token = other423.token;
+flow_draining::flow_draining(flow_draining&& other427) noexcept {
+  token = other427.token;
 }
-flow_draining& flow_draining::operator=(const flow_draining& other424) noexcept {
-  token = other424.token;
+flow_draining& flow_draining::operator=(const flow_draining& other428) noexcept {
+  token = other428.token;
   return *this;
 }
-flow_draining& flow_draining::operator=(flow_draining&& other425) noexcept {
-  token = other425.token;
+flow_draining& flow_draining::operator=(flow_draining&& other429) noexcept {
+  token = other429.token;
   return *this;
 }
 void flow_draining::printTo(std::ostream& out) const {
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -91,6 +91,8 @@
 
 class segment_forward;
 
+class segment_query;
+
 class segment_report;
 
 class segment_load;
@@ -2400,6 +2402,58 @@
 
 std::ostream& operator<<(std::ostream& out, const segment_forward& obj);
 
+
+class segment_query {
+ public:
+
+  segment_query(const segment_query&) noexcept;
+  segment_query(segment_query&&) noexcept;
+  segment_query& operator=(const segment_query&) noexcept;
+  segment_query& operator=(segment_query&&) noexcept;
+  segment_query() noexcept
+                : service_key(0),
+                  acknowledged(0) {
+  }
+
+  virtual ~segment_query() noexcept;
+  flow_key key;
+  int64_t service_key;
+  int32_t acknowledged;
+
+  void __set_key(const flow_key& val);
+
+  void __set_service_key(const int64_t val);
+
+  void __set_acknowledged(const int32_t val);
+
+  bool operator == (const segment_query & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(service_key == rhs.service_key))
+      return false;
+    if (!(acknowledged == rhs.acknowledged))
+      return false;
+    return true;
+  }
+  bool operator != (const segment_query &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const segment_query & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(segment_query &a, segment_query &b);
+
+std::ostream& operator<<(std::ostream& out, const segment_query& obj);
+
 typedef struct _segment_report__isset {
   _segment_report__isset() : sequence(false), reason(false), packet(false) {}
   bool sequence :1;
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -4200,6 +4200,96 @@
   return xfer;
 }
 
+template <class Protocol_>
+uint32_t segment_query::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_service_key = false;
+  bool isset_acknowledged = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_key);
+          isset_service_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->acknowledged);
+          isset_acknowledged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_service_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_acknowledged)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t segment_query::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("segment_query");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_key", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->service_key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->acknowledged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 template <class Protocol_>
 uint32_t segment_report::read(Protocol_* iprot) {
 
@@ -4756,14 +4846,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size252;
-            ::apache::thrift::protocol::TType _etype255;
-            xfer += iprot->readListBegin(_etype255, _size252);
-            this->entries.resize(_size252);
-            uint32_t _i256;
-            for (_i256 = 0; _i256 < _size252; ++_i256)
+            uint32_t _size256;
+            ::apache::thrift::protocol::TType _etype259;
+            xfer += iprot->readListBegin(_etype259, _size256);
+            this->entries.resize(_size256);
+            uint32_t _i260;
+            for (_i260 = 0; _i260 < _size256; ++_i260)
             {
-              xfer += this->entries[_i256].read(iprot);
+              xfer += this->entries[_i260].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4841,10 +4931,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<log_entry> ::const_iterator _iter257;
-    for (_iter257 = this->entries.begin(); _iter257 != this->entries.end(); ++_iter257)
+    std::vector<log_entry> ::const_iterator _iter261;
+    for (_iter261 = this->entries.begin(); _iter261 != this->entries.end(); ++_iter261)
     {
-      xfer += (*_iter257).write(oprot);
+      xfer += (*_iter261).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5685,14 +5775,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size286;
-            ::apache::thrift::protocol::TType _etype289;
-            xfer += iprot->readListBegin(_etype289, _size286);
-            this->services.resize(_size286);
-            uint32_t _i290;
-            for (_i290 = 0; _i290 < _size286; ++_i290)
+            uint32_t _size290;
+            ::apache::thrift::protocol::TType _etype293;
+            xfer += iprot->readListBegin(_etype293, _size290);
+            this->services.resize(_size290);
+            uint32_t _i294;
+            for (_i294 = 0; _i294 < _size290; ++_i294)
             {
-              xfer += this->services[_i290].read(iprot);
+              xfer += this->services[_i294].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5705,14 +5795,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size291;
-            ::apache::thrift::protocol::TType _etype294;
-            xfer += iprot->readListBegin(_etype294, _size291);
-            this->targets.resize(_size291);
-            uint32_t _i295;
-            for (_i295 = 0; _i295 < _size291; ++_i295)
+            uint32_t _size295;
+            ::apache::thrift::protocol::TType _etype298;
+            xfer += iprot->readListBegin(_etype298, _size295);
+            this->targets.resize(_size295);
+            uint32_t _i299;
+            for (_i299 = 0; _i299 < _size295; ++_i299)
             {
-              xfer += this->targets[_i295].read(iprot);
+              xfer += this->targets[_i299].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5725,14 +5815,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size296;
-            ::apache::thrift::protocol::TType _etype299;
-            xfer += iprot->readListBegin(_etype299, _size296);
-            this->nodes.resize(_size296);
-            uint32_t _i300;
-            for (_i300 = 0; _i300 < _size296; ++_i300)
+            uint32_t _size300;
+            ::apache::thrift::protocol::TType _etype303;
+            xfer += iprot->readListBegin(_etype303, _size300);
+            this->nodes.resize(_size300);
+            uint32_t _i304;
+            for (_i304 = 0; _i304 < _size300; ++_i304)
             {
-              xfer += this->nodes[_i300].read(iprot);
+              xfer += this->nodes[_i304].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5745,14 +5835,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tombstones.clear();
-            uint32_t _size301;
-            ::apache::thrift::protocol::TType _etype304;
-            xfer += iprot->readListBegin(_etype304, _size301);
-            this->tombstones.resize(_size301);
-            uint32_t _i305;
-            for (_i305 = 0; _i305 < _size301; ++_i305)
+            uint32_t _size305;
+            ::apache::thrift::protocol::TType _etype308;
+            xfer += iprot->readListBegin(_etype308, _size305);
+            this->tombstones.resize(_size305);
+            uint32_t _i309;
+            for (_i309 = 0; _i309 < _size305; ++_i309)
             {
-              xfer += this->tombstones[_i305].read(iprot);
+              xfer += this->tombstones[_i309].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5765,14 +5855,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size306;
-            ::apache::thrift::protocol::TType _etype309;
-            xfer += iprot->readListBegin(_etype309, _size306);
-            this->routes.resize(_size306);
-            uint32_t _i310;
-            for (_i310 = 0; _i310 < _size306; ++_i310)
+            uint32_t _size310;
+            ::apache::thrift::protocol::TType _etype313;
+            xfer += iprot->readListBegin(_etype313, _size310);
+            this->routes.resize(_size310);
+            uint32_t _i314;
+            for (_i314 = 0; _i314 < _size310; ++_i314)
             {
-              xfer += this->routes[_i310].read(iprot);
+              xfer += this->routes[_i314].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5860,10 +5950,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<service_entry> ::const_iterator _iter311;
-    for (_iter311 = this->services.begin(); _iter311 != this->services.end(); ++_iter311)
+    std::vector<service_entry> ::const_iterator _iter315;
+    for (_iter315 = this->services.begin(); _iter315 != this->services.end(); ++_iter315)
     {
-      xfer += (*_iter311).write(oprot);
+      xfer += (*_iter315).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5872,10 +5962,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<target> ::const_iterator _iter312;
-    for (_iter312 = this->targets.begin(); _iter312 != this->targets.end(); ++_iter312)
+    std::vector<target> ::const_iterator _iter316;
+    for (_iter316 = this->targets.begin(); _iter316 != this->targets.end(); ++_iter316)
     {
-      xfer += (*_iter312).write(oprot);
+      xfer += (*_iter316).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5884,10 +5974,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<node> ::const_iterator _iter313;
-    for (_iter313 = this->nodes.begin(); _iter313 != this->nodes.end(); ++_iter313)
+    std::vector<node> ::const_iterator _iter317;
+    for (_iter317 = this->nodes.begin(); _iter317 != this->nodes.end(); ++_iter317)
     {
-      xfer += (*_iter313).write(oprot);
+      xfer += (*_iter317).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5896,10 +5986,10 @@
   xfer += oprot->writeFieldBegin("tombstones", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tombstones.size()));
-    std::vector<tombstone> ::const_iterator _iter314;
-    for (_iter314 = this->tombstones.begin(); _iter314 != this->tombstones.end(); ++_iter314)
+    std::vector<tombstone> ::const_iterator _iter318;
+    for (_iter318 = this->tombstones.begin(); _iter318 != this->tombstones.end(); ++_iter318)
     {
-      xfer += (*_iter314).write(oprot);
+      xfer += (*_iter318).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5909,10 +5999,10 @@
     xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-      std::vector<route_entry> ::const_iterator _iter315;
-      for (_iter315 = this->routes.begin(); _iter315 != this->routes.end(); ++_iter315)
+      std::vector<route_entry> ::const_iterator _iter319;
+      for (_iter319 = this->routes.begin(); _iter319 != this->routes.end(); ++_iter319)
       {
-        xfer += (*_iter315).write(oprot);
+        xfer += (*_iter319).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5989,14 +6079,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parents.clear();
-            uint32_t _size320;
-            ::apache::thrift::protocol::TType _etype323;
-            xfer += iprot->readListBegin(_etype323, _size320);
-            this->parents.resize(_size320);
-            uint32_t _i324;
-            for (_i324 = 0; _i324 < _size320; ++_i324)
+            uint32_t _size324;
+            ::apache::thrift::protocol::TType _etype327;
+            xfer += iprot->readListBegin(_etype327, _size324);
+            this->parents.resize(_size324);
+            uint32_t _i328;
+            for (_i328 = 0; _i328 < _size324; ++_i328)
             {
-              xfer += this->parents[_i324].read(iprot);
+              xfer += this->parents[_i328].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6050,10 +6140,10 @@
     xfer += oprot->writeFieldBegin("parents", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parents.size()));
-      std::vector<endpoint> ::const_iterator _iter325;
-      for (_iter325 = this->parents.begin(); _iter325 != this->parents.end(); ++_iter325)
+      std::vector<endpoint> ::const_iterator _iter329;
+      for (_iter329 = this->parents.begin(); _iter329 != this->parents.end(); ++_iter329)
       {
-        xfer += (*_iter325).write(oprot);
+        xfer += (*_iter329).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6603,14 +6693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->children.clear();
-            uint32_t _size346;
-            ::apache::thrift::protocol::TType _etype349;
-            xfer += iprot->readListBegin(_etype349, _size346);
-            this->children.resize(_size346);
-            uint32_t _i350;
-            for (_i350 = 0; _i350 < _size346; ++_i350)
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->children.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
             {
-              xfer += this->children[_i350].read(iprot);
+              xfer += this->children[_i354].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6686,10 +6776,10 @@
   xfer += oprot->writeFieldBegin("children", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->children.size()));
-    std::vector<child_report> ::const_iterator _iter351;
-    for (_iter351 = this->children.begin(); _iter351 != this->children.end(); ++_iter351)
+    std::vector<child_report> ::const_iterator _iter355;
+    for (_iter355 = this->children.begin(); _iter355 != this->children.end(); ++_iter355)
     {
-      xfer += (*_iter351).write(oprot);
+      xfer += (*_iter355).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7488,14 +7578,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size384;
-            ::apache::thrift::protocol::TType _etype387;
-            xfer += iprot->readListBegin(_etype387, _size384);
-            this->missing.resize(_size384);
-            uint32_t _i388;
-            for (_i388 = 0; _i388 < _size384; ++_i388)
+            uint32_t _size388;
+            ::apache::thrift::protocol::TType _etype391;
+            xfer += iprot->readListBegin(_etype391, _size388);
+            this->missing.resize(_size388);
+            uint32_t _i392;
+            for (_i392 = 0; _i392 < _size388; ++_i392)
             {
-              xfer += iprot->readI32(this->missing[_i388]);
+              xfer += iprot->readI32(this->missing[_i392]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7539,10 +7629,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->missing.size()));
-    std::vector<int32_t> ::const_iterator _iter389;
-    for (_iter389 = this->missing.begin(); _iter389 != this->missing.end(); ++_iter389)
+    std::vector<int32_t> ::const_iterator _iter393;
+    for (_iter393 = this->missing.begin(); _iter393 != this->missing.end(); ++_iter393)
     {
-      xfer += oprot->writeI32((*_iter389));
+      xfer += oprot->writeI32((*_iter393));
     }
     xfer += oprot->writeListEnd();
   }
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -295,8 +295,15 @@
   3: required i8 purpose
 }
 
-// Agent to balancer: what became of a segment.
-// `outcome`: 1 the target offers to take the flow, 2 held here, 3 declined, 4 not held here.
+// Balancer to every agent of a service: who holds the flow? Carries no segment, because there may be many agents.
+struct segment_query {
+  1: required flow_key key
+  2: required i64 service_key
+  3: required i32 acknowledged  // of the segment that is searched with
+}
+
+// Agent to balancer: what became of a segment, or the answer to a query.
+// `outcome`: 1 the target offers to take the flow, 2 held here, 3 declined, 4 not held here, 5 only the target knows.
 struct segment_report {
   1: required flow_key key
   2: required i64 service_key
