--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -139,7 +139,7 @@
 {
     const auto it = flows_.find(key);
     if (it == flows_.end()) {
-        return !target_ || knows_all_flows(now) ? segment_outcome::absent : segment_outcome::unsure;
+        return knows_all_flows(now) ? segment_outcome::absent : segment_outcome::unsure;
     }
     const flow& f = it->second;
     if (f.offered && !f.opened && !acknowledges_flow(acknowledged, f.target_sequence)) {
--- a/src/libperidotcleat/connection/segment_agent_test.cpp
+++ b/src/libperidotcleat/connection/segment_agent_test.cpp
@@ -166,6 +166,24 @@
     EXPECT_EQ(query("live"), segment_outcome::absent);
 }
 
+// Guards against the reset of an open flow while a restarted agent waits for the first word of its target.
+TEST_F(segment_agent_test, an_agent_that_has_not_heard_its_target_denies_nothing)
+{
+    segment_agent restarted(settings(), now, counted);
+    const auto outcome = [&] {
+        wire::segment_query q;
+        q.key = to_wire(flow);
+        q.service_key = service_key("live");
+        q.acknowledged = 5001;
+        restarted.on_message(now, balancer, q, out);
+        return static_cast<segment_outcome>(reports().at(0).outcome);
+    };
+    EXPECT_EQ(outcome(), segment_outcome::unsure);
+    restarted.on_target_left(now, out);
+    out.clear();
+    EXPECT_EQ(outcome(), segment_outcome::absent);
+}
+
 // Guards against packets at another service after the machine's address has changed hands.
 TEST_F(segment_agent_test, segments_of_another_service_are_not_delivered)
 {
