Limit the queries of a balancer, so that callers' new flows get through after a great loss

All flows are unknown then, each packet asks 50 to 70 targets, and a front of 0.12 cores has no time left for new flows. Ruled out: control (a leader 0.6 s after the restart, cores at 0.0078 of a core at most). Change: a balancer sends at most 2,000 queries a second, 1,000 at once; further packets of unknown flows are dropped and counted as search_limit (620). Callers then open new flows, which need no search. Test: searches_are_limited_and_new_flows_are_not, which the former code fails.

--- a/src/include/peridotcleat/result.h
+++ b/src/include/peridotcleat/result.h
@@ -79,6 +79,7 @@
     hop_limit = 617,
     handover_pending = 618,
     flow_limit = 619,
+    search_limit = 620,
 };
 
 /// Returns the stable name of `code`, as used in logs, counters and docs.
--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -105,11 +105,11 @@
     void place(time_point now, const flow_key& key, flow& f, std::string_view packet, outbox& out);
     void start_search(time_point now, const flow_key& key, std::string_view packet,
                       std::vector<endpoint> absent, outbox& out);
-    void search_again(time_point now, const flow_key& key, flow& f, std::string_view packet,
-                      outbox& out) const;
+    void search_again(time_point now, const flow_key& key, flow& f, std::string_view packet, outbox& out);
     void ask(const flow_key& key, const flow& f, outbox& out) const;
     void on_unsure(const flow_key& key, const endpoint& from, outbox& out);
     [[nodiscard]] bool finish_search(time_point now, const flow_key& key, flow& f, outbox& out);
+    [[nodiscard]] bool may_ask(time_point now, const flow_route& route);
     void finish_searches(time_point now, outbox& out);
     [[nodiscard]] const flow_service* service_of(const flow_key& key, std::int64_t service) const;
     [[nodiscard]] const flow_target* best_candidate(time_point now, const flow_service& service,
@@ -126,6 +126,9 @@
     counters* counted_;
     std::shared_ptr<const flow_routes> routes_;
     std::chrono::milliseconds table_age_{0};
+    // Queries that may be sent at present.
+    double query_budget_;
+    time_point budget_renewed_;
     flow_map flows_;
     // Flows that are searched for; some may have been found or forgotten.
     std::vector<flow_key> searched_;
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -27,6 +27,11 @@
 constexpr milliseconds table_margin{200};
 // A search without an outcome by then is given up until the caller speaks again.
 constexpr milliseconds search_memory{5000};
+// Queries a second and at once. A query and its answer take some 25 us of processor time and 160 bytes; after
+// the loss of many nodes all flows are unknown, and without a limit the searches would starve the flows that
+// callers open anew.
+constexpr double queries_per_second = 2000;
+constexpr double query_burst = 1000;
 // The most packets a sender has in flight.
 constexpr std::size_t max_waiting = 16;
 // Below this age a table is as good as control's own, and what it does not hold does not exist.
@@ -47,7 +52,8 @@
 }  // namespace
 
 segment_balancer::segment_balancer(segment_balancer_settings settings, counters& counted)
-    : settings_(std::move(settings)), counted_(&counted), routes_(std::make_shared<flow_routes>())
+    : settings_(std::move(settings)), counted_(&counted), routes_(std::make_shared<flow_routes>()),
+      query_budget_(query_burst)
 {
 }
 
@@ -238,6 +244,10 @@
         counted_->refuse(error_code::flow_unknown);
         return;
     }
+    if (!may_ask(now, *route)) {
+        counted_->refuse(error_code::search_limit);
+        return;
+    }
     flow& f = remember(now, key);
     f.holder.reset();
     f.placements.clear();
@@ -259,9 +269,24 @@
                {"table_age_ms", table_age_.count()}});
 }
 
+// Takes the queries of one search from the budget.
+bool segment_balancer::may_ask(time_point now, const flow_route& route)
+{
+    const std::chrono::duration<double> passed = now - budget_renewed_;
+    query_budget_ = std::min(query_burst, query_budget_ + (passed.count() * queries_per_second));
+    budget_renewed_ = now;
+    if (query_budget_ <= 0) {
+        return false;
+    }
+    for (const flow_service* service : route.holders()) {
+        query_budget_ -= static_cast<double>(service->targets.size());
+    }
+    return true;
+}
+
 // Takes a further packet of a flow that is searched for. Targets that were silent are asked again.
 void segment_balancer::search_again(time_point now, const flow_key& key, flow& f, std::string_view packet,
-                                    outbox& out) const
+                                    outbox& out)
 {
     search& s = *f.searching;
     if (now - s.asked_at < search_timeout) {
@@ -270,6 +295,11 @@
         }
         return;
     }
+    const flow_route* route = routes_->find(key.destination);
+    if (route == nullptr || !may_ask(now, *route)) {
+        counted_->refuse(error_code::search_limit);
+        return;
+    }
     s.asked_at = now;
     s.asked = s.absent;
     s.probed.clear();
--- a/src/libperidotcleat/connection/segment_balancer_test.cpp
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -238,6 +238,23 @@
     EXPECT_TRUE(sent(segment_purpose::held).empty());
 }
 
+// Guards against a balancer that is busy with searches only, while callers open new flows: after a loss of
+// all power every packet belongs to an unknown flow.
+TEST_F(segment_balancer_test, searches_are_limited_and_new_flows_are_not)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    for (std::uint16_t port = 1; port <= 5000; ++port) {
+        send(port, 77);
+    }
+    EXPECT_LE(queried().size(), 1100U);
+    open(6000);
+    EXPECT_EQ(sent(segment_purpose::place).size(), 1U);
+    now += std::chrono::seconds(1);
+    send(7000, 77);
+    EXPECT_EQ(queried().size(), 2U);
+}
+
 // Guards against a reset of a flow that is open: one target is silent, or the table is old.
 TEST_F(segment_balancer_test, a_flow_is_reset_only_if_every_target_of_a_fresh_table_lacks_it)
 {
--- a/src/libperidotcleat/process/result.cpp
+++ b/src/libperidotcleat/process/result.cpp
@@ -63,6 +63,7 @@
     case error_code::hop_limit: return "hop_limit";
     case error_code::handover_pending: return "handover_pending";
     case error_code::flow_limit: return "flow_limit";
+    case error_code::search_limit: return "search_limit";
     }
     return "unknown";
 }
