Run the replica's random faults with standby members too

Cause: the membership changes that control makes by itself (standby members, succession of silent voters) had no randomised test. Change: replica_group takes the number of voters; a second run of the same faults over groups of five and seven that keep three voters. The existing test and its seeds are unchanged.

--- a/src/libperidotcleat/version/replica_test.cpp
+++ b/src/libperidotcleat/version/replica_test.cpp
@@ -50,7 +50,9 @@
 // recover.
 class random_run {
 public:
-    explicit random_run(std::uint64_t seed) : group_(seed, pick_size(seed)), kinds_(pick_kinds())
+    /// With `standby`, a group of five or seven keeps three voters by itself once members were lost.
+    explicit random_run(std::uint64_t seed, bool standby = false)
+        : group_(seed, standby ? 5 + (seed % 2 * 2) : pick_size(seed), standby ? 3 : 0), kinds_(pick_kinds())
     {
         link_quality q;
         q.delay = std::chrono::milliseconds(1 + below(8));
@@ -281,16 +283,14 @@
     std::uint64_t next_data_ = 0;
 };
 
-// Guards against lost or differing committed entries, two leaders that accept at once, votes and
-// acknowledgements of emptied disks, and groups that do not recover, under any mix of faults.
-TEST(replica, invariants_hold_under_random_faults)
+void run_seeds(bool standby)
 {
     const auto first = number_from_environment("PERIDOTCLEAT_FIRST_SEED", 1);
     const auto seeds = number_from_environment("PERIDOTCLEAT_SEEDS", default_seeds);
     std::uint64_t committed = 0;
     std::uint64_t reads = 0;
     for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
-        random_run run(seed);
+        random_run run(seed, standby);
         try {
             run.run();
         } catch (const std::exception& e) {
@@ -306,6 +306,13 @@
     EXPECT_GT(reads, seeds);
 }
 
+// Guards against lost or differing committed entries, two leaders that accept at once, votes and
+// acknowledgements of emptied disks, and groups that do not recover, under any mix of faults.
+TEST(replica, invariants_hold_under_random_faults) { run_seeds(false); }
+
+// Guards against the same where members stand by and take the places of silent voters without an operator.
+TEST(replica, invariants_hold_with_standby_members) { run_seeds(true); }
+
 // Runs a group without faults until it has a leader with a lease.
 replica_group::host& wait_for_leader(replica_group& group)
 {
--- a/src/testing/replica_group.h
+++ b/src/testing/replica_group.h
@@ -31,7 +31,9 @@
         std::int64_t committed_at_read = 0;
     };
 
-    replica_group(std::uint64_t seed, std::size_t size) : net(seed)
+    /// `voter_count` is the `voters` of the replicas' settings.
+    replica_group(std::uint64_t seed, std::size_t size, std::size_t voter_count = 0)
+        : net(seed), voters_(voter_count)
     {
         net.set_tick_period(std::chrono::milliseconds(50));
         for (std::size_t i = 0; i < size; ++i) {
@@ -78,6 +80,7 @@
         }
         s.bootstrap = true;
         s.first_members = founders;
+        s.voters = voters_;
         s.seed = net.random()();
         ++h.starts;
         auto opened = replica<fake_disk>::open(s, fake_disk(h.disk), net.now());
@@ -164,12 +167,18 @@
         return intact * 2 > voters && list_is_committed(*l);
     }
 
-    /// Returns true if the member list of `h` holds the present folder of each host as a voter.
+    /// Returns true if the member list of `h` holds the present folder of each host, and as many of them vote
+    /// as the settings say: founders keep their votes.
     [[nodiscard]] bool all_are_voters(const host& h) const
     {
-        return h.process && h.process->members().size() == hosts.size() &&
-               std::all_of(h.process->members().begin(), h.process->members().end(),
-                           [&](const wire::member& m) { return m.voter && find(m.folder_id) != nullptr; });
+        if (!h.process || h.process->members().size() != hosts.size()) {
+            return false;
+        }
+        const auto& all = h.process->members();
+        const auto voting = std::ranges::count_if(all, [](const wire::member& m) { return m.voter; });
+        const auto wanted = voters_ == 0 ? hosts.size() : std::min(voters_, hosts.size());
+        return static_cast<std::size_t>(voting) >= wanted &&
+               std::ranges::all_of(all, [&](const wire::member& m) { return find(m.folder_id) != nullptr; });
     }
 
     [[nodiscard]] const fake_disk_content* find(std::int64_t folder) const
@@ -334,6 +343,7 @@
         }
     }
 
+    std::size_t voters_ = 0;
     std::vector<std::uint64_t> digests_{0};
     bool formed_ = false;
     bool lost_while_forming_ = false;
