--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -54,6 +54,9 @@
     [[nodiscard]] const std::shared_ptr<const flow_routes>& routes() const noexcept { return routes_; }
 
 private:
+    // Queries that may be sent at once.
+    static constexpr double query_burst = 1000;
+
     // One target that was asked to take a flow.
     struct placement {
         endpoint agent;
@@ -111,6 +114,9 @@
     [[nodiscard]] bool finish_search(time_point now, const flow_key& key, flow& f, outbox& out);
     [[nodiscard]] bool may_ask(time_point now, const flow_route& route);
     void finish_searches(time_point now, outbox& out);
+    // Returns true if the cache may not take another flow.
+    [[nodiscard]] bool is_full_for(const flow_key& key) const;
+    [[nodiscard]] static bool contains(const std::vector<endpoint>& list, const endpoint& e);
     [[nodiscard]] const flow_service* service_of(const flow_key& key, std::int64_t service) const;
     [[nodiscard]] const flow_target* best_candidate(time_point now, const flow_service& service,
                                                     const flow& f) const;
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -21,19 +21,6 @@
 constexpr milliseconds answer_timeout{120};
 // A lost agent is tried again after this time, because it may have had nothing to say.
 constexpr milliseconds retry_lost{2000};
-// A search without an answer is repeated with the caller's next packet.
-constexpr milliseconds search_timeout{150};
-// Added to the age of a table, for what the parent had not heard of when it answered.
-constexpr milliseconds table_margin{200};
-// A search without an outcome by then is given up until the caller speaks again.
-constexpr milliseconds search_memory{5000};
-// Queries a second and at once. A query and its answer take some 25 us of processor time and 160 bytes; after
-// the loss of many nodes all flows are unknown, and without a limit the searches would starve the flows that
-// callers open anew.
-constexpr double queries_per_second = 2000;
-constexpr double query_burst = 1000;
-// The most packets a sender has in flight.
-constexpr std::size_t max_waiting = 16;
 // Below this age a table is as good as control's own, and what it does not hold does not exist.
 constexpr milliseconds fresh_table{1500};
 // Load of a flow that was placed and is not in the target's report yet, in thousandths of a slot.
@@ -44,11 +31,6 @@
 
 std::int64_t number(const endpoint& e) { return route_number(e); }
 
-bool contains(const std::vector<endpoint>& list, const endpoint& e)
-{
-    return std::ranges::find(list, e) != list.end();
-}
-
 }  // namespace
 
 segment_balancer::segment_balancer(segment_balancer_settings settings, counters& counted)
@@ -74,6 +56,16 @@
     }
 }
 
+bool segment_balancer::contains(const std::vector<endpoint>& list, const endpoint& e)
+{
+    return std::ranges::find(list, e) != list.end();
+}
+
+bool segment_balancer::is_full_for(const flow_key& key) const
+{
+    return flows_.size() >= max_flows && !flows_.contains(key);
+}
+
 segment_balancer::flow& segment_balancer::remember(time_point now, const flow_key& key)
 {
     flow& f = flows_[key];
@@ -92,7 +84,7 @@
         }
         return;
     }
-    if (flows_.size() >= max_flows && !flows_.contains(s.key)) {
+    if (is_full_for(s.key)) {
         counted_->refuse(error_code::flow_limit);
         reset(s.key, s.sequence, error_code::flow_limit, out);
         return;
@@ -236,163 +228,6 @@
     }
 }
 
-void segment_balancer::start_search(time_point now, const flow_key& key, std::string_view packet,
-                                    std::vector<endpoint> absent, outbox& out)
-{
-    const flow_route* route = routes_->find(key.destination);
-    if (route == nullptr || (flows_.size() >= max_flows && !flows_.contains(key))) {
-        counted_->refuse(error_code::flow_unknown);
-        return;
-    }
-    if (!may_ask(now, *route)) {
-        counted_->refuse(error_code::search_limit);
-        return;
-    }
-    flow& f = remember(now, key);
-    f.holder.reset();
-    f.placements.clear();
-    if (const auto s = settings_.format.decode(packet)) {
-        f.acknowledged = s->acknowledged;
-    }
-    f.searching = std::make_unique<search>();
-    f.searching->started = now;
-    f.searching->asked_at = now;
-    f.searching->absent = std::move(absent);
-    f.searching->waiting.emplace_back(packet);
-    ask(key, f, out);
-    searched_.push_back(key);
-    counted_->add(event::flows_redirected);
-    log_event(log_level::info, "flow_searched",
-              {{"flow", to_string(key)},
-               {"targets", static_cast<std::int64_t>(f.searching->asked.size())},
-               {"absent", static_cast<std::int64_t>(f.searching->absent.size())},
-               {"table_age_ms", table_age_.count()}});
-}
-
-// Takes the queries of one search from the budget.
-bool segment_balancer::may_ask(time_point now, const flow_route& route)
-{
-    const std::chrono::duration<double> passed = now - budget_renewed_;
-    query_budget_ = std::min(query_burst, query_budget_ + (passed.count() * queries_per_second));
-    budget_renewed_ = now;
-    if (query_budget_ <= 0) {
-        return false;
-    }
-    for (const flow_service* service : route.holders()) {
-        query_budget_ -= static_cast<double>(service->targets.size());
-    }
-    return true;
-}
-
-// Takes a further packet of a flow that is searched for. Targets that were silent are asked again.
-void segment_balancer::search_again(time_point now, const flow_key& key, flow& f, std::string_view packet,
-                                    outbox& out)
-{
-    search& s = *f.searching;
-    if (now - s.asked_at < search_timeout) {
-        if (s.waiting.size() < max_waiting) {
-            s.waiting.emplace_back(packet);
-        }
-        return;
-    }
-    const flow_route* route = routes_->find(key.destination);
-    if (route == nullptr || !may_ask(now, *route)) {
-        counted_->refuse(error_code::search_limit);
-        return;
-    }
-    s.asked_at = now;
-    s.asked = s.absent;
-    s.probed.clear();
-    s.waiting.assign(1, std::string(packet));
-    ask(key, f, out);
-}
-
-// Asks all targets that may hold the flow and were not asked yet.
-void segment_balancer::ask(const flow_key& key, const flow& f, outbox& out) const
-{
-    const flow_route* route = routes_->find(key.destination);
-    if (route == nullptr) {
-        return;
-    }
-    search& s = *f.searching;
-    wire::segment_query query;
-    query.key = to_wire(key);
-    query.acknowledged = static_cast<std::int32_t>(f.acknowledged);
-    for (const flow_service* service : route->holders()) {
-        query.service_key = service->key;
-        for (const flow_target& t : service->targets) {
-            if (contains(s.asked, t.agent)) {
-                continue;
-            }
-            s.asked.push_back(t.agent);
-            if (!contains(s.absent, t.agent)) {
-                out.send(t.agent, query);
-            }
-        }
-    }
-}
-
-// The agent has restarted and its target may hold the flow: a segment shows.
-void segment_balancer::on_unsure(const flow_key& key, const endpoint& from, outbox& out)
-{
-    const auto it = flows_.find(key);
-    if (it == flows_.end() || !it->second.searching || contains(it->second.searching->probed, from)) {
-        return;
-    }
-    search& s = *it->second.searching;
-    s.probed.push_back(from);
-    const flow_route* route = routes_->find(key.destination);
-    if (route == nullptr) {
-        return;
-    }
-    for (const flow_service* service : route->holders()) {
-        if (std::ranges::find(service->targets, from, &flow_target::agent) != service->targets.end()) {
-            forward(from, service->key, segment_purpose::search, s.waiting.front(), out);
-            return;
-        }
-    }
-}
-
-// Returns true if nobody holds the flow. That is certain only if every target of a table that is newer than
-// the search has said so: another balancer may have placed the flow on a target that had just joined.
-bool segment_balancer::finish_search(time_point now, const flow_key& key, flow& f, outbox& out)
-{
-    if (now - table_age_ < f.searching->started + table_margin) {
-        return false;
-    }
-    ask(key, f, out);
-    return !f.searching->asked.empty() && std::ranges::all_of(f.searching->asked, [&](const endpoint& e) {
-        return contains(f.searching->absent, e);
-    });
-}
-
-bool segment_balancer::wants_table(time_point now) const
-{
-    return std::ranges::any_of(searched_, [&](const flow_key& key) {
-        const auto it = flows_.find(key);
-        return it != flows_.end() && it->second.searching &&
-               now >= it->second.searching->started + table_margin &&
-               now - table_age_ < it->second.searching->started + table_margin;
-    });
-}
-
-void segment_balancer::finish_searches(time_point now, outbox& out)
-{
-    std::erase_if(searched_, [&](const flow_key& key) {
-        const auto it = flows_.find(key);
-        if (it == flows_.end() || !it->second.searching ||
-            now - it->second.searching->started > search_memory) {
-            return true;
-        }
-        if (!finish_search(now, key, it->second, out)) {
-            return false;
-        }
-        reset(key, it->second.acknowledged, error_code::flow_unknown, out);
-        flows_.erase(it);
-        return true;
-    });
-}
-
 void segment_balancer::on_message(time_point now, const endpoint& from, const message& m, outbox& out)
 {
     if (const auto* report = std::get_if<wire::segment_report>(&m)) {
--- a/src/libperidotcleat/process/log.cpp
+++ b/src/libperidotcleat/process/log.cpp
@@ -3,6 +3,8 @@
 #include <easylogging++.h>
 
 #include <algorithm>
+#include <atomic>
+#include <chrono>
 #include <string>
 
 namespace peridotcleat {
@@ -22,6 +24,36 @@
     return level;
 }
 
+// Lines below a warning that are written in a second; more are left out and counted, so that a flood of
+// packets does not turn into a flood of lines.
+constexpr std::int64_t lines_per_second = 500;
+
+// Counts lines in seconds of the steady clock. Thread-safe; the count may be a few lines off between threads.
+class line_limit {
+public:
+    /// Returns true if a line may be written; `left_out` is set to the lines that the last second left out.
+    bool admit(std::int64_t& left_out)
+    {
+        const auto now = std::chrono::steady_clock::now().time_since_epoch();
+        const auto second = std::chrono::duration_cast<std::chrono::seconds>(now).count();
+        left_out = 0;
+        if (second_.exchange(second) != second) {
+            left_out = std::max<std::int64_t>(lines_.exchange(0) - lines_per_second, 0);
+        }
+        return ++lines_ <= lines_per_second;
+    }
+
+private:
+    std::atomic<std::int64_t> second_{0};
+    std::atomic<std::int64_t> lines_{0};
+};
+
+line_limit& limit()
+{
+    static line_limit instance;
+    return instance;
+}
+
 std::string quoted(const std::string& value)
 {
     const bool plain = !value.empty() && value.find_first_of(" \"=\n\r\t") == std::string::npos;
@@ -58,6 +90,16 @@
     if (level < lowest_level()) {
         return;
     }
+    if (level < log_level::warning) {
+        std::int64_t left_out = 0;
+        const bool admitted = limit().admit(left_out);
+        if (left_out > 0) {
+            LOG(WARNING) << "event=lines_left_out node=" << quoted(node_name()) << " lines=" << left_out;
+        }
+        if (!admitted) {
+            return;
+        }
+    }
     std::string line = "event=" + std::string(event) + " node=" + quoted(node_name());
     for (const log_field& f : fields) {
         line += ' ';
