--- a/src/include/peridotcleat/node_link.h
+++ b/src/include/peridotcleat/node_link.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds pull_interval{1000};
     /// Time between two pulls and two announcements of a node that has no place in its table yet.
     std::chrono::milliseconds join_interval{1000};
+    /// Time from the start to the first pull, for nodes that can wait for their table.
+    std::chrono::milliseconds first_pull_delay{0};
     /// A parent that is silent or whose state is older than this is left.
     std::chrono::milliseconds parent_timeout{3000};
     /// Must differ at each start of the process: the nonce of the start is derived from it.
@@ -111,6 +113,8 @@
     void take_announce_reply(time_point now, const wire::announce_reply& reply);
     void update_parent(time_point now, std::size_t index);
     void pull(time_point now, std::size_t index, outbox& out);
+    void find_first_table(time_point now, outbox& out);
+    void keep_current(time_point now, outbox& out);
     void probe(time_point now, outbox& out);
     void announce(time_point now, outbox& out);
     void find_own_entry();
--- a/src/libperidotcleat/version/node_link.cpp
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -144,10 +144,37 @@
     if (!started_) {
         started_ = true;
         // Processes that start together must not pull together.
-        next_pull_ = now + microseconds(random_() % microseconds(settings_.pull_interval / 4).count());
+        next_pull_ = now + settings_.first_pull_delay +
+                     microseconds(random_() % microseconds(settings_.join_interval / 4).count());
         next_return_ = now + return_interval;
         parents_[current_].good = now;
     }
+    if (table().current_revision() == revision{}) {
+        find_first_table(now, out);
+    } else {
+        keep_current(now, out);
+    }
+    if (now >= next_announce_ && announcement_due()) {
+        announce(now, out);
+        next_announce_ = now + jittered(id_.valid() ? leave_announce_interval : settings_.join_interval);
+    }
+}
+
+// Asks one parent after the other, because none is known to be up, and each once in a join interval: after a
+// loss of all power every node asks, and a repeated request costs a busy parent a page. Parents that were
+// emptied answer too, and have nothing.
+void node_link::find_first_table(time_point now, outbox& out)
+{
+    if (now < next_pull_) {
+        return;
+    }
+    next_probe_ = (next_probe_ + 1) % parents_.size();
+    pull(now, next_probe_, out);
+    next_pull_ = now + jittered(settings_.join_interval / parents_.size());
+}
+
+void node_link::keep_current(time_point now, outbox& out)
+{
     const parent_state& current = parents_[current_];
     const bool lost = current.unanswered && now - last_pull_ >= reply_timeout &&
                       now - *current.unanswered < settings_.pull_interval;
@@ -159,10 +186,6 @@
         probe(now, out);
         next_pull_ = now + jittered(ready() ? settings_.pull_interval : settings_.join_interval);
     }
-    if (now >= next_announce_ && announcement_due()) {
-        announce(now, out);
-        next_announce_ = now + jittered(id_.valid() ? leave_announce_interval : settings_.join_interval);
-    }
 }
 
 // Pulls from other parents while the current one is late, so that one that is known to answer can take its
@@ -228,8 +251,10 @@
         it->good = now;
     }
     const page_outcome outcome = copy_.take(reply.page, touched_);
+    const bool first = !complete_as_of_;
     if (outcome == page_outcome::applied || outcome == page_outcome::current) {
         complete_as_of_ = std::max(complete_as_of_.value_or(as_of), as_of);
+        current_ = first ? index : current_;
     }
     if (outcome == page_outcome::applied) {
         counted_->add(event::pages_applied);
--- a/src/libperidotcleat/version/node_link_test.cpp
+++ b/src/libperidotcleat/version/node_link_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace peridotcleat {
 namespace {
 
@@ -42,5 +44,31 @@
     EXPECT_TRUE(pulled_second);
 }
 
+// Guards against a node that waits for one dead parent after a loss of all power, while others are up.
+TEST(node_link, asks_every_parent_for_the_first_table)
+{
+    node_link_settings settings;
+    settings.name = "a";
+    settings.zone = "z";
+    settings.address = {1, 9};
+    settings.parents = {{1, 1}, {1, 2}, {1, 3}};
+    settings.join_interval = 200ms;
+    counters counted;
+    auto created = node_link::create(settings, counted);
+    ASSERT_TRUE(has_value(created));
+    node_link link = value(std::move(created));
+    std::set<endpoint> asked;
+    for (time_point now{1s}; now <= time_point{1s} + 2 * settings.join_interval; now += 50ms) {
+        outbox out;
+        link.on_tick(now, out);
+        for (const send_action& s : out.sends) {
+            if (std::holds_alternative<wire::pull_request>(s.body)) {
+                asked.insert(s.to);
+            }
+        }
+    }
+    EXPECT_EQ(asked.size(), 3U);
+}
+
 }  // namespace
 }  // namespace peridotcleat
