Elect without waiting for a former lease, which delays the own lease instead

Resets of flows that nobody holds need a table that a leader has confirmed, so callers waited. Change: the vote is granted and says how long such a lease may hold (vote_reply.lease_ms); the new leader confirms tables at once and accepts proposals and reads only when the longest of them is over. A restarted member asks for votes after 120 to 420 ms, and candidates that split the votes try again after 200 to 600 ms. Found on the way: a new leader and a member that lacks entries called their tables fresh; both now do so only with all that was committed.

--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -194,6 +194,8 @@
     void become_follower(std::int64_t term, time_point now);
     void adopt_leader(std::int64_t term, const endpoint& from, time_point now);
     void restart_election_timer(time_point now);
+    // Returns a random time from 0 to `below`, exclusive.
+    [[nodiscard]] std::chrono::microseconds draw(std::chrono::microseconds below);
     [[nodiscard]] std::int64_t self() const noexcept { return identity_.folder.value; }
     [[nodiscard]] const wire::member* member(std::int64_t folder) const;
     [[nodiscard]] bool is_voter(std::int64_t folder) const;
@@ -276,14 +278,16 @@
     std::optional<time_point> leader_heard_;
     time_point quorum_heard_;
     time_point election_due_;
-    // No vote before this time: a heartbeat may have been acknowledged just before the restart.
-    time_point no_vote_until_;
+    // Until this time the lease of a leader may hold whose heartbeat was acknowledged just before the restart.
+    time_point former_lease_end_;
     time_point join_due_;
     time_point opened_at_;
 
     // Candidates.
     std::set<std::int64_t> votes_;
     bool self_vote_durable_ = false;
+    // The latest `former_lease_end_` of the voters, this one included.
+    time_point voters_lease_end_;
     time_point vote_resend_due_;
     // Member list that the first founder asks all founders to agree to.
     std::optional<wire::member_list> founding_;
@@ -296,6 +300,8 @@
     // Start times of the last rounds; the last one belongs to `round_`.
     std::deque<time_point> round_starts_;
     time_point led_since_;
+    // The own lease starts when no former one can hold any more.
+    time_point lease_from_;
     std::int64_t term_start_ = 0;
     bool round_wanted_ = false;
 };
--- a/src/libperidotcleat/version/replica_append.cpp
+++ b/src/libperidotcleat/version/replica_append.cpp
@@ -83,8 +83,6 @@
         return;
     }
     adopt_leader(m.term, from, now);
-    const auto age = std::chrono::milliseconds(std::max(0, m.quorum_age_ms));
-    quorum_heard_ = std::max(quorum_heard_, now - age);
     reply.term = hard_.term;
     const std::int64_t previous = m.previous_index;
     if (previous > log_.last_index()) {
@@ -100,6 +98,11 @@
         reply.success = true;
         reply.match = previous + static_cast<std::int64_t>(m.entries.size());
         commit_ = std::max(commit_, std::min(m.commit, reply.match));
+        if (commit_ >= m.commit) {
+            // A member that lacks entries does not hold what the leader held then.
+            quorum_heard_ =
+                std::max(quorum_heard_, now - std::chrono::milliseconds(std::max(0, m.quorum_age_ms)));
+        }
     } else {
         return;
     }
--- a/src/libperidotcleat/version/replica_core.cpp
+++ b/src/libperidotcleat/version/replica_core.cpp
@@ -28,8 +28,8 @@
     }
     core.durable_ = core.log_.last_index();
     core.delivered_ = core.log_.base_index();
-    // What is committed stays so. A process that comes back serves its table before a leader is elected, which
-    // after a loss of all power takes longer than all else.
+    // What is committed stays so. A process that comes back serves its table before a leader is elected,
+    // which after a loss of all power takes longer than all else.
     core.commit_ = std::clamp(core.hard_.committed, core.log_.base_index(), core.durable_);
     return core;
 }
@@ -38,10 +38,14 @@
     : settings_(std::move(settings)), identity_(std::move(stored.identity)), hard_(stored.hard),
       random_(settings_.seed ^ static_cast<std::uint64_t>(identity_.folder.value)), quorum_heard_(never),
       // A folder without a term has never acknowledged anything.
-      no_vote_until_(hard_.term == 0 ? now : now + settings_.timing.election_low), join_due_(now),
+      former_lease_end_(hard_.term == 0 ? now : now + settings_.timing.election_low), join_due_(now),
       opened_at_(now)
 {
     restart_election_timer(now);
+    if (hard_.term != 0) {
+        // A leader that is alive is heard within a heartbeat. Without one, all members may have restarted.
+        election_due_ = now + settings_.timing.heartbeat + draw(settings_.timing.election_low / 2);
+    }
 }
 
 void replica_core::on_message(time_point now, const endpoint& from, const message& m, outbox& out)
@@ -208,12 +212,13 @@
 
 bool replica_core::lease_valid(time_point now) const
 {
-    return is_leader() && now - quorum_heard(now) < settings_.timing.leader_lease;
+    return is_leader() && now >= lease_from_ && now - quorum_heard(now) < settings_.timing.leader_lease;
 }
 
 std::chrono::milliseconds replica_core::quorum_age(time_point now) const
 {
-    const time_point heard = is_leader() ? quorum_heard(now) : quorum_heard_;
+    // What a former leader committed is known here only once an entry of the own term is committed.
+    const time_point heard = is_leader() && commit_ >= term_start_ ? quorum_heard(now) : quorum_heard_;
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - std::min(now, heard));
 }
 
@@ -268,9 +273,13 @@
 
 void replica_core::restart_election_timer(time_point now)
 {
-    const auto spread = static_cast<std::uint64_t>(
-        std::chrono::microseconds(settings_.timing.election_high - settings_.timing.election_low).count());
-    election_due_ = now + settings_.timing.election_low + std::chrono::microseconds(random_() % spread);
+    election_due_ = now + settings_.timing.election_low +
+                    draw(settings_.timing.election_high - settings_.timing.election_low);
+}
+
+std::chrono::microseconds replica_core::draw(std::chrono::microseconds below)
+{
+    return std::chrono::microseconds(random_() % static_cast<std::uint64_t>(below.count()));
 }
 
 const wire::member* replica_core::member(std::int64_t folder) const
--- a/src/libperidotcleat/version/replica_election.cpp
+++ b/src/libperidotcleat/version/replica_election.cpp
@@ -20,7 +20,7 @@
     if (role_ == role::leader) {
         return now - quorum_heard(now) < hold;
     }
-    return now < no_vote_until_ || (leader_heard_ && now - *leader_heard_ < hold);
+    return leader_heard_ && now - *leader_heard_ < hold;
 }
 
 bool replica_core::quorum(const std::set<std::int64_t>& folders) const
@@ -67,6 +67,10 @@
         restart_election_timer(now);
     }
     reply.term = hard_.term;
+    if (reply.granted && now < former_lease_end_) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(former_lease_end_ - now);
+        reply.__set_lease_ms(static_cast<std::int32_t>(left.count()));
+    }
     send(from, reply, out);
 }
 
@@ -80,6 +84,9 @@
     const bool answers_vote = !m.pre_vote && m.granted && role_ == role::candidate && m.term == hard_.term;
     if (answers_pre_vote || answers_vote) {
         votes_.insert(m.voter);
+        if (m.__isset.lease_ms) {
+            voters_lease_end_ = std::max(voters_lease_end_, now + std::chrono::milliseconds(m.lease_ms));
+        }
         count_votes(now, out);
     } else if (!m.granted && m.term > hard_.term) {
         become_follower(m.term, now);
@@ -102,11 +109,19 @@
     role_ = role::candidate;
     votes_.clear();
     self_vote_durable_ = false;
+    voters_lease_end_ = former_lease_end_;
     ++hard_.term;
     hard_.voted_for = identity_.folder;
     write_hard_state();
     counters_->add(event::elections_started);
-    restart_election_timer(now);
+    if (founding_) {
+        restart_election_timer(now);
+    } else {
+        // Candidates that split the votes try again after different times, several round trips and syncs
+        // apart.
+        const std::chrono::microseconds low = settings_.timing.election_low;
+        election_due_ = now + low / 3 + draw(low * 2 / 3);
+    }
     request_votes(now, false, out);
 }
 
@@ -154,6 +169,7 @@
     role_ = role::leader;
     leader_address_ = settings_.address;
     led_since_ = now;
+    lease_from_ = voters_lease_end_;
     progress_.clear();
     joiners_.clear();
     term_start_ = log_.last_index() + 1;
--- a/src/libperidotcleat/version/replica_test.cpp
+++ b/src/libperidotcleat/version/replica_test.cpp
@@ -418,6 +418,58 @@
     EXPECT_GE(first.applied, committed - 1);
 }
 
+// Guards against a group that waits for the lease of a leader that is gone before it elects another, and
+// against a new leader that accepts proposals while that lease may hold.
+TEST(replica, a_restarted_group_elects_at_once_and_accepts_after_the_former_lease)
+{
+    replica_group group(6, 3);
+    ASSERT_TRUE(group.propose(wait_for_leader(group), "x"));
+    group.net.run_for(2s);
+    for (auto& h : group.hosts) {
+        group.kill(h, false);
+    }
+    const time_point restarted = group.net.now();
+    for (auto& h : group.hosts) {
+        group.start(h);
+    }
+    const replica_timing timing;
+    const auto leads = [](const auto& h) { return h.process->is_leader(); };
+    while (std::ranges::none_of(group.hosts, leads) && group.net.now() < restarted + timing.election_low) {
+        group.net.run_for(10ms);
+    }
+    const auto l = std::ranges::find_if(group.hosts, leads);
+    ASSERT_NE(l, group.hosts.end());
+    EXPECT_LT(group.net.now(), restarted + timing.election_low);
+    group.net.run_for(100ms);
+    EXPECT_LT(l->process->quorum_age(group.net.now()), 1s);
+    EXPECT_FALSE(has_value(l->process->propose(group.net.now(), "y")));
+    group.net.run_for(timing.election_low);
+    EXPECT_TRUE(has_value(wait_for_leader(group).process->propose(group.net.now(), "y")));
+}
+
+// Guards against a member that calls its table fresh although it lacks entries that are committed, so that a
+// balancer denies a flow whose target joined with one of them.
+TEST(replica, a_member_that_lacks_entries_is_not_fresh)
+{
+    replica_group group(7, 3);
+    replica_group::host& l = wait_for_leader(group);
+    group.net.run_for(2s);
+    auto& behind = *std::ranges::find_if(group.hosts, [&](const auto& h) { return &h != &l; });
+    wire::append_request late;
+    late.term = l.process->term();
+    late.leader = l.disk->folder();
+    late.previous_index = l.process->commit_index();
+    late.previous_term = l.process->term();
+    late.commit = l.process->commit_index() + 5;
+    late.round = 0;
+    late.quorum_age_ms = 0;
+    group.kill(behind, false);
+    group.start(behind);
+    outbox out;
+    behind.process->on_message(group.net.now(), l.at, late, out);
+    EXPECT_GT(behind.process->quorum_age(group.net.now()), 1h);
+}
+
 // Guards against a removed member that comes back by itself or takes part in elections.
 TEST(replica, a_removed_member_stays_away)
 {
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -3067,6 +3067,11 @@
 void vote_reply::__set_candidate(const int64_t val) {
   this->candidate = val;
 }
+
+void vote_reply::__set_lease_ms(const int32_t val) {
+  this->lease_ms = val;
+__isset.lease_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const vote_reply& obj)
 {
   obj.printTo(out);
@@ -3081,6 +3086,8 @@
   swap(a.voter, b.voter);
   swap(a.granted, b.granted);
   swap(a.candidate, b.candidate);
+  swap(a.lease_ms, b.lease_ms);
+  swap(a.__isset, b.__isset);
 }
 
 vote_reply::vote_reply(const vote_reply& other252) noexcept {
@@ -3089,6 +3096,8 @@
   voter = other252.voter;
   granted = other252.granted;
   candidate = other252.candidate;
+  lease_ms = other252.lease_ms;
+  __isset = other252.__isset;
 }
 vote_reply::vote_reply(vote_reply&& other253) noexcept {
   pre_vote = other253.pre_vote;
@@ -3096,6 +3105,8 @@
   voter = other253.voter;
   granted = other253.granted;
   candidate = other253.candidate;
+  lease_ms = other253.lease_ms;
+  __isset = other253.__isset;
 }
 vote_reply& vote_reply::operator=(const vote_reply& other254) noexcept {
   pre_vote = other254.pre_vote;
@@ -3103,6 +3114,8 @@
   voter = other254.voter;
   granted = other254.granted;
   candidate = other254.candidate;
+  lease_ms = other254.lease_ms;
+  __isset = other254.__isset;
   return *this;
 }
 vote_reply& vote_reply::operator=(vote_reply&& other255) noexcept {
@@ -3111,6 +3124,8 @@
   voter = other255.voter;
   granted = other255.granted;
   candidate = other255.candidate;
+  lease_ms = other255.lease_ms;
+  __isset = other255.__isset;
   return *this;
 }
 void vote_reply::printTo(std::ostream& out) const {
@@ -3121,6 +3136,7 @@
   out << ", " << "voter=" << to_string(voter);
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "candidate=" << to_string(candidate);
+  out << ", " << "lease_ms="; (__isset.lease_ms ? (out << to_string(lease_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -2662,6 +2662,10 @@
 
 std::ostream& operator<<(std::ostream& out, const vote_request& obj);
 
+typedef struct _vote_reply__isset {
+  _vote_reply__isset() : lease_ms(false) {}
+  bool lease_ms :1;
+} _vote_reply__isset;
 
 class vote_reply {
  public:
@@ -2675,7 +2679,8 @@
                term(0),
                voter(0),
                granted(0),
-               candidate(0) {
+               candidate(0),
+               lease_ms(0) {
   }
 
   virtual ~vote_reply() noexcept;
@@ -2684,6 +2689,9 @@
   int64_t voter;
   bool granted;
   int64_t candidate;
+  int32_t lease_ms;
+
+  _vote_reply__isset __isset;
 
   void __set_pre_vote(const bool val);
 
@@ -2695,6 +2703,8 @@
 
   void __set_candidate(const int64_t val);
 
+  void __set_lease_ms(const int32_t val);
+
   bool operator == (const vote_reply & rhs) const
   {
     if (!(pre_vote == rhs.pre_vote))
@@ -2707,6 +2717,10 @@
       return false;
     if (!(candidate == rhs.candidate))
       return false;
+    if (__isset.lease_ms != rhs.__isset.lease_ms)
+      return false;
+    else if (__isset.lease_ms && !(lease_ms == rhs.lease_ms))
+      return false;
     return true;
   }
   bool operator != (const vote_reply &rhs) const {
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -4711,6 +4711,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lease_ms);
+          this->__isset.lease_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4759,6 +4767,11 @@
   xfer += oprot->writeI64(this->candidate);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.lease_ms) {
+    xfer += oprot->writeFieldBegin("lease_ms", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->lease_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -337,6 +337,7 @@
   3: required i64 voter         // folder id
   4: required bool granted
   5: required i64 candidate     // folder id that is answered; an emptied disk keeps its address but not its id
+  6: optional i32 lease_ms      // how long a lease that the voter acknowledged before its restart can still hold
 }
 
 struct append_request {
