Keep packets that reach a balancer before its table

Cause: a front that starts dropped callers' packets until it had routes: after a loss of all power fronts were up at 37.5 to 37.6 s and had routes at 37.9 to 38.0 s, and a caller repeats a packet after 200 to 1,600 ms. Test: segment_balancer_test packets_before_the_first_table_are_kept_for_a_short_time.

--- a/src/include/peridotcleat/result.h
+++ b/src/include/peridotcleat/result.h
@@ -80,6 +80,7 @@
     handover_pending = 618,
     flow_limit = 619,
     search_limit = 620,
+    no_table = 621,
 };
 
 /// Returns the stable name of `code`, as used in logs, counters and docs.
--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "peridotcleat/counters.h"
@@ -38,7 +39,10 @@
 
     /// Puts routes in force.
     void set_routes(std::shared_ptr<const flow_routes> routes);
-    /// Handles one packet of a caller. `table_age` is the age of the routes.
+    /// Handles the packets that came before the first routes. Call after `set_routes`.
+    void release_early_packets(time_point now, std::chrono::milliseconds table_age, outbox& out);
+    /// Handles one packet of a caller. `table_age` is the age of the routes. Before the first routes a packet
+    /// is kept for a short time.
     void on_packet(time_point now, std::string_view packet, std::chrono::milliseconds table_age, outbox& out);
     /// Handles segment_report and segment_load of agents; ignores other messages.
     void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
@@ -87,6 +91,12 @@
         time_point used;
     };
 
+    // A packet that came before the first routes.
+    struct early_packet {
+        time_point arrived;
+        std::string packet;
+    };
+
     // What is known of one target beyond the table.
     struct target_load {
         std::int32_t reported_permille = 0;
@@ -98,6 +108,7 @@
 
     using flow_map = std::unordered_map<flow_key, flow, flow_key_hash>;
 
+    void keep_early(time_point now, const segment& s, std::string_view packet);
     void on_opening(time_point now, const segment& s, std::string_view packet, outbox& out);
     void on_later(time_point now, const segment& s, std::string_view packet, outbox& out);
     void on_report(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
@@ -132,6 +143,9 @@
     counters* counted_;
     std::shared_ptr<const flow_routes> routes_;
     std::chrono::milliseconds table_age_{0};
+    std::vector<early_packet> early_;
+    // Flows of `early_` whose opening packet is kept.
+    std::unordered_set<flow_key, flow_key_hash> early_openings_;
     // Queries that may be sent at present.
     double query_budget_;
     time_point budget_renewed_;
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -27,6 +27,11 @@
 constexpr std::int32_t placed_permille = 150;
 // A target that refuses flows is asked again after this time, if it has not reported until then.
 constexpr milliseconds refusal_time{1000};
+// Packets that are kept while there are no routes: those of half a second at 32,000 new flows a second over 10
+// balancers, 60 KB for opening packets.
+constexpr std::size_t max_early = 1600;
+// A caller gives up an opening packet 1.4 s after it has sent the first copy.
+constexpr milliseconds early_time{1200};
 constexpr std::int64_t out_of_service = 1'000'000;
 
 std::int64_t number(const endpoint& e) { return route_number(e); }
@@ -49,13 +54,53 @@
         return;
     }
     table_age_ = table_age;
-    if (s->opens) {
+    if (routes_->version() == 0 && table_age_ >= fresh_table) {
+        keep_early(now, *s, packet);
+    } else if (s->opens) {
         on_opening(now, *s, packet, out);
     } else {
         on_later(now, *s, packet, out);
     }
 }
 
+// A balancer that starts has no table for a round trip, and after a loss of all power for as long as control
+// takes to start. A caller would repeat the packet only after 200 to 1,600 ms.
+void segment_balancer::keep_early(time_point now, const segment& s, std::string_view packet)
+{
+    const bool repeated = s.opens && early_openings_.contains(s.key);
+    if (early_.size() >= max_early || repeated) {
+        counted_->refuse(repeated ? error_code::no_table : error_code::flow_limit);
+        return;
+    }
+    if (s.opens) {
+        early_openings_.insert(s.key);
+    }
+    early_.push_back({now, std::string(packet)});
+}
+
+void segment_balancer::release_early_packets(time_point now, milliseconds table_age, outbox& out)
+{
+    if (routes_->version() == 0 || early_.empty()) {
+        return;
+    }
+    const auto packets = std::exchange(early_, {});
+    early_openings_ = {};
+    std::size_t late = 0;
+    for (const early_packet& e : packets) {
+        if (now - e.arrived <= early_time) {
+            on_packet(now, e.packet, table_age, out);
+        } else {
+            ++late;
+            counted_->refuse(error_code::no_table);
+        }
+    }
+    log_event(log_level::info, "early_packets_released",
+              {{"packets", static_cast<std::int64_t>(packets.size())},
+               {"late", static_cast<std::int64_t>(late)},
+               {"version", routes_->version()},
+               {"table_age_ms", table_age.count()}});
+}
+
 bool segment_balancer::contains(const std::vector<endpoint>& list, const endpoint& e)
 {
     return std::ranges::find(list, e) != list.end();
@@ -385,6 +430,10 @@
         return;
     }
     last_cleaned_ = now;
+    std::erase_if(early_, [now](const early_packet& e) { return now - e.arrived > early_time; });
+    if (early_.empty()) {
+        early_openings_.clear();
+    }
     std::erase_if(flows_, [now](const auto& item) { return now - item.second.used > cache_time; });
     std::erase_if(loads_, [now](const auto& item) {
         return now - item.second.reported > cache_time && !item.second.unanswered_since;
--- a/src/libperidotcleat/connection/segment_balancer_test.cpp
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -164,6 +164,32 @@
     EXPECT_EQ(sent(segment_purpose::place), targets{agent_b});
 }
 
+// Guards against callers that lose a repeat interval for each packet that reaches a balancer before its table,
+// against copies that are all placed, and against packets whose sender has given up.
+TEST_F(segment_balancer_test, packets_before_the_first_table_are_kept_for_a_short_time)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    const auto routes = balancer.routes();
+    balancer = segment_balancer({"zone-a", 8172, testing::fake_format}, counted);
+    age = std::chrono::hours(1);
+    open(1);
+    now += milliseconds(1000);
+    open(2);
+    open(2);
+    send(3, 1000);
+    now += milliseconds(400);
+    balancer.set_routes(routes);
+    balancer.release_early_packets(now, age, out);
+    EXPECT_EQ(std::ranges::count_if(out.sends,
+                                    [](const send_action& s) {
+                                        return std::holds_alternative<wire::segment_query>(s.body);
+                                    }),
+              2);
+    EXPECT_EQ(sent(segment_purpose::place), targets{agent_a});
+    EXPECT_EQ(counted.refusals(error_code::no_table), 2U);
+}
+
 // Guards against a caller that waits for a dead target: each copy of its opening packet goes to another one.
 TEST_F(segment_balancer_test, copies_of_an_opening_packet_go_to_further_targets)
 {
--- a/src/libperidotcleat/process/result.cpp
+++ b/src/libperidotcleat/process/result.cpp
@@ -64,6 +64,7 @@
     case error_code::handover_pending: return "handover_pending";
     case error_code::flow_limit: return "flow_limit";
     case error_code::search_limit: return "search_limit";
+    case error_code::no_table: return "no_table";
     }
     return "unknown";
 }
