Reset lost flows after a confirmed table

The age itself was no proof: a message to a member that was frozen or busy counts from its arrival. Ruled out: smaller margins, which make the error likelier. Change: a balancer with open searches asks the leader of control to confirm its table; the leader answers after a quorum round that starts after the request (a read as for operators), others name the leader. Searches that began before the request end at once when all have denied; the margin is gone. A read no longer needs the lease, because its round shows who leads. Tests: node_link_test a_confirmation_counts_for_the_request_that_it_answers; segment_balancer_test the_last_denial_ends_a_search_at_once; a_flow_is_reset_only_if_every_target_of_a_confirmed_table_lacks_it replaces the check by age and is stricter (a table one millisecond older than the search must not count).

--- a/src/include/peridotcleat/control.h
+++ b/src/include/peridotcleat/control.h
@@ -55,7 +55,7 @@
     void on_message(time_point now, const endpoint& from, const message& m, outbox& out)
     {
         if (const auto* pull = std::get_if<wire::pull_request>(&m)) {
-            relay_.on_pull(now, from, *pull, table_, replica_.quorum_age(now), out);
+            on_pull(now, from, *pull, out);
         } else if (const auto* request = std::get_if<wire::announce>(&m)) {
             on_announce(now, *request, out);
         } else if (const auto* answer = std::get_if<wire::announce_reply>(&m)) {
@@ -189,6 +189,18 @@
 
 private:
     static constexpr std::chrono::milliseconds expiry_interval{200};
+    // A node asks again after this time.
+    static constexpr std::chrono::milliseconds confirm_limit{200};
+    // One for each node that may pull from control itself.
+    static constexpr std::size_t max_waiting_pulls = 1024;
+
+    // A pull whose answer waits for a quorum.
+    struct waiting_pull {
+        endpoint from;
+        wire::pull_request request;
+        read_ticket read;
+        time_point arrived;
+    };
 
     control(control_settings settings, replica<Storage> opened, counters& counted)
         : settings_(std::move(settings)), counted_(&counted), replica_(std::move(opened)),
@@ -245,6 +257,7 @@
         }
         decide_waiting(now);
         desk_.on_time(now);
+        confirm_pulls(now, out);
         if (table_.current_revision() > before) {
             relay_.on_table_changed(now, table_, out);
         }
@@ -341,6 +354,31 @@
         return id;
     }
 
+    // A leader that is asked to confirm its table answers after a quorum round; anyone else answers at once.
+    void on_pull(time_point now, const endpoint& from, const wire::pull_request& request, outbox& out)
+    {
+        if (request.__isset.confirm && leading() && waiting_pulls_.size() < max_waiting_pulls) {
+            if (const auto read = replica_.begin_read(now); has_value(read)) {
+                waiting_pulls_.push_back({from, request, value(read), now});
+                return;
+            }
+        }
+        relay_.on_pull(now, from, request, table_,
+                       {replica_.quorum_age(now), false, leading() ? std::nullopt : replica_.leader()}, out);
+    }
+
+    void confirm_pulls(time_point now, outbox& out)
+    {
+        std::erase_if(waiting_pulls_, [&](const waiting_pull& w) {
+            const auto ready = read_ready(w.read);
+            if (has_value(ready) && value(ready)) {
+                relay_.on_pull(now, w.from, w.request, table_, {std::chrono::milliseconds(0), true, {}}, out);
+                return true;
+            }
+            return !has_value(ready) || now - w.arrived > confirm_limit;
+        });
+    }
+
     // Decides on requests whose read is confirmed: answers them from the table, or proposes them.
     void decide_waiting(time_point now)
     {
@@ -402,6 +440,7 @@
     bool caught_up_ = false;
     bool staged_ = false;
     time_point last_expiry_;
+    std::vector<waiting_pull> waiting_pulls_;
 };
 
 }  // namespace peridotcleat
--- a/src/include/peridotcleat/node_link.h
+++ b/src/include/peridotcleat/node_link.h
@@ -70,8 +70,10 @@
     /// Pulls at once because a newer revision was seen.
     void on_newer_revision(time_point now, revision seen, outbox& out);
 
-    /// Pulls at once because a newer table is needed, unless it has just pulled.
-    void refresh(time_point now, outbox& out);
+    /// Asks the leader of control to confirm the table, unless it has just been asked.
+    void confirm(time_point now, outbox& out);
+    /// The table holds all that was committed at this time; nothing before the first confirmation.
+    [[nodiscard]] std::optional<time_point> confirmed_as_of() const noexcept { return confirmed_as_of_; }
 
     [[nodiscard]] const table_state& table() const noexcept { return copy_.table(); }
     /// Identity after the join, 0 before.
@@ -113,6 +115,10 @@
     void take_announce_reply(time_point now, const wire::announce_reply& reply);
     void update_parent(time_point now, std::size_t index);
     void pull(time_point now, std::size_t index, outbox& out);
+    [[nodiscard]] wire::pull_request make_request() const;
+    void ask_to_confirm(time_point now, const endpoint& to, outbox& out);
+    void take_confirmation(time_point now, const endpoint& from, const wire::pull_reply& reply, outbox& out);
+    page_outcome take_page(const wire::table_page& page, time_point as_of);
     void find_first_table(time_point now, outbox& out);
     void keep_current(time_point now, outbox& out);
     void probe(time_point now, outbox& out);
@@ -147,6 +153,13 @@
     time_point next_announce_;
     /// The table held the parent's whole state at this time.
     std::optional<time_point> complete_as_of_;
+    std::optional<time_point> confirmed_as_of_;
+    /// Who confirmed last or is said to lead.
+    std::optional<endpoint> leader_;
+    /// Last request to confirm, and whether its answer is waited for.
+    std::int32_t confirm_number_ = 0;
+    time_point confirm_asked_;
+    bool confirm_open_ = false;
 
     std::vector<service_id> touched_;
     bool changed_ = false;
--- a/src/include/peridotcleat/relay.h
+++ b/src/include/peridotcleat/relay.h
@@ -50,6 +50,16 @@
     time_point heard;
 };
 
+/// What a relay or control process knows of its table.
+struct table_standing {
+    /// Age of the table's information.
+    std::chrono::milliseconds age{0};
+    /// A quorum has confirmed the table after the pull arrived.
+    bool confirmed = false;
+    /// Control process that can confirm it, if this one cannot.
+    std::optional<endpoint> leader = {};
+};
+
 /// Serves pulls from a table, remembers the children, notifies them of changes and reports them upwards.
 /// Used by balancers (towards agents) and by control (towards balancers and other control processes).
 ///
@@ -65,9 +75,9 @@
     /// Creates a relay that knows no node yet and counts its events in `counted`.
     relay(relay_limits limits, counters& counted);
 
-    /// Answers pull_request. `age` is the age of `table`.
+    /// Answers pull_request from `table`.
     void on_pull(time_point now, const endpoint& from, const wire::pull_request& request,
-                 const table_state& table, std::chrono::milliseconds age, outbox& out);
+                 const table_state& table, const table_standing& standing, outbox& out);
     /// Sets the addresses that children are told to pull from, in ascending order. Without any, children keep
     /// to those of their settings.
     void set_parents(std::vector<endpoint> parents) { parents_ = std::move(parents); }
--- a/src/include/peridotcleat/replica.h
+++ b/src/include/peridotcleat/replica.h
@@ -118,7 +118,7 @@
         return core_.compact(index, std::move(state));
     }
 
-    /// Starts a linearizable read. Fails with `not_leader`, `no_quorum` or `stopped`.
+    /// Starts a linearizable read. Fails with `not_leader` or `stopped`.
     result<read_ticket> begin_read(time_point now) { return core_.begin_read(now); }
 
     /// Returns true once a quorum has confirmed the leadership in a round that began after `begin_read`; the
--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -278,7 +278,8 @@
     std::optional<time_point> leader_heard_;
     time_point quorum_heard_;
     time_point election_due_;
-    // Until this time the lease of a leader may hold whose heartbeat was acknowledged just before the restart.
+    // Until this time the lease of a leader may hold whose heartbeat was acknowledged just before the
+    // restart.
     time_point former_lease_end_;
     time_point join_due_;
     time_point opened_at_;
--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -50,8 +50,10 @@
     /// age of the routes. Call at least every 100 ms.
     void on_tick(time_point now, std::chrono::milliseconds table_age, outbox& out);
 
-    /// Returns true while the outcome of a search waits for a newer table.
-    [[nodiscard]] bool wants_table(time_point now) const;
+    /// Ends searches that began before `as_of`, at which time the routes held all that control had accepted.
+    void on_table_confirmed(time_point now, time_point as_of, outbox& out);
+    /// Returns true while the outcome of a search waits for the table to be confirmed.
+    [[nodiscard]] bool wants_confirmation() const;
 
     /// Number of flows in the cache.
     [[nodiscard]] std::size_t size() const noexcept { return flows_.size(); }
@@ -122,7 +124,8 @@
     void search_again(time_point now, const flow_key& key, flow& f, std::string_view packet, outbox& out);
     void ask(const flow_key& key, const flow& f, outbox& out) const;
     void on_unsure(const flow_key& key, const endpoint& from, outbox& out);
-    [[nodiscard]] bool finish_search(time_point now, const flow_key& key, flow& f, outbox& out);
+    void end_search(flow_map::iterator it, outbox& out);
+    [[nodiscard]] bool finish_search(const flow_key& key, flow& f, outbox& out);
     [[nodiscard]] bool may_ask(time_point now, const flow_route& route);
     void finish_searches(time_point now, outbox& out);
     // Returns true if the cache may not take another flow.
@@ -143,6 +146,8 @@
     counters* counted_;
     std::shared_ptr<const flow_routes> routes_;
     std::chrono::milliseconds table_age_{0};
+    // The routes held all that control had accepted at this time.
+    std::optional<time_point> confirmed_as_of_;
     std::vector<early_packet> early_;
     // Flows of `early_` whose opening packet is kept.
     std::unordered_set<flow_key, flow_key_hash> early_openings_;
--- a/src/libperidotcleat/connection/agent_test.cpp
+++ b/src/libperidotcleat/connection/agent_test.cpp
@@ -61,7 +61,7 @@
     void on_message(time_point now, const endpoint& from, const message& m, outbox& out)
     {
         if (const auto* pull = std::get_if<wire::pull_request>(&m)) {
-            relay_.on_pull(now, from, *pull, table_, milliseconds(0), out);
+            relay_.on_pull(now, from, *pull, table_, {milliseconds(0)}, out);
         } else if (const auto* report = std::get_if<wire::relay_report>(&m)) {
             relay_.on_report(now, from, *report, out);
         } else if (const auto* request = std::get_if<wire::announce>(&m)) {
--- a/src/libperidotcleat/connection/balancer.cpp
+++ b/src/libperidotcleat/connection/balancer.cpp
@@ -25,7 +25,7 @@
         // Before the own join is in the table, its revision may be behind one that was served before a
         // restart.
         if (link_.ready()) {
-            relay_.on_pull(now, from, *pull, link_.table(), link_.age(now), out);
+            relay_.on_pull(now, from, *pull, link_.table(), {link_.age(now)}, out);
         }
     } else if (const auto* request = std::get_if<wire::announce>(&m)) {
         relay_.on_announce(now, *request, address_, link_.parent(), out);
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -27,8 +27,8 @@
 constexpr std::int32_t placed_permille = 150;
 // A target that refuses flows is asked again after this time, if it has not reported until then.
 constexpr milliseconds refusal_time{1000};
-// Packets that are kept while there are no routes: those of half a second at 32,000 new flows a second over 10
-// balancers, 60 KB for opening packets.
+// Packets that are kept while there are no routes: those of half a second at 32,000 new flows a second over
+// 10 balancers, 60 KB for opening packets.
 constexpr std::size_t max_early = 1600;
 // A caller gives up an opening packet 1.4 s after it has sent the first copy.
 constexpr milliseconds early_time{1200};
@@ -376,6 +376,9 @@
         if (!contains(f.searching->absent, from)) {
             f.searching->absent.push_back(from);
         }
+        if (finish_search(key, f, out)) {
+            end_search(it, out);
+        }
         return;
     }
     const bool meanwhile_found = f.holder && *f.holder != from;
--- a/src/libperidotcleat/connection/segment_balancer_test.cpp
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -164,8 +164,8 @@
     EXPECT_EQ(sent(segment_purpose::place), targets{agent_b});
 }
 
-// Guards against callers that lose a repeat interval for each packet that reaches a balancer before its table,
-// against copies that are all placed, and against packets whose sender has given up.
+// Guards against callers that lose a repeat interval for each packet that reaches a balancer before its
+// table, against copies that are all placed, and against packets whose sender has given up.
 TEST_F(segment_balancer_test, packets_before_the_first_table_are_kept_for_a_short_time)
 {
     join(agent_a, "zone-a", "live");
@@ -181,10 +181,9 @@
     now += milliseconds(400);
     balancer.set_routes(routes);
     balancer.release_early_packets(now, age, out);
-    EXPECT_EQ(std::ranges::count_if(out.sends,
-                                    [](const send_action& s) {
-                                        return std::holds_alternative<wire::segment_query>(s.body);
-                                    }),
+    EXPECT_EQ(std::ranges::count_if(
+                  out.sends,
+                  [](const send_action& s) { return std::holds_alternative<wire::segment_query>(s.body); }),
               2);
     EXPECT_EQ(sent(segment_purpose::place), targets{agent_a});
     EXPECT_EQ(counted.refusals(error_code::no_table), 2U);
@@ -281,23 +280,39 @@
     EXPECT_EQ(queried().size(), 2U);
 }
 
-// Guards against a reset of a flow that is open: one target is silent, or the table is old.
-TEST_F(segment_balancer_test, a_flow_is_reset_only_if_every_target_of_a_fresh_table_lacks_it)
+// Guards against a reset of a flow that is open: one target is silent, or the table was not confirmed since
+// the search began.
+TEST_F(segment_balancer_test, a_flow_is_reset_only_if_every_target_of_a_confirmed_table_lacks_it)
 {
     join(agent_a, "zone-a", "live");
     join(agent_b, "zone-b", "live");
     send(1, 77);
     report(agent_a, 1, segment_outcome::absent);
     now += std::chrono::seconds(1);
+    balancer.on_table_confirmed(now, now, out);
     balancer.on_tick(now, milliseconds(0), out);
     EXPECT_EQ(resets(), 0U);
+    now += milliseconds(1);
     send(2, 77);
     report(agent_a, 2, segment_outcome::absent);
     report(agent_b, 2, segment_outcome::absent);
+    EXPECT_TRUE(balancer.wants_confirmation());
     now += std::chrono::seconds(1);
-    balancer.on_tick(now, milliseconds(1500), out);
+    balancer.on_tick(now, milliseconds(0), out);
+    balancer.on_table_confirmed(now, now - milliseconds(1001), out);
     EXPECT_EQ(resets(), 0U);
-    balancer.on_tick(now, milliseconds(100), out);
+    balancer.on_table_confirmed(now, now - milliseconds(1000), out);
+    EXPECT_EQ(resets(), 1U);
+}
+
+// Guards against a caller that waits for a tick although the last answer that was missing has come.
+TEST_F(segment_balancer_test, the_last_denial_ends_a_search_at_once)
+{
+    join(agent_a, "zone-a", "live");
+    send(1, 77);
+    balancer.on_table_confirmed(now, now, out);
+    EXPECT_EQ(resets(), 0U);
+    report(agent_a, 1, segment_outcome::absent);
     EXPECT_EQ(resets(), 1U);
 }
 
@@ -312,11 +327,11 @@
     join(agent_b, "zone-b", "live");
     out.clear();
     now += milliseconds(600);
-    balancer.on_tick(now, milliseconds(50), out);
+    balancer.on_table_confirmed(now, now - milliseconds(50), out);
     EXPECT_EQ(queried(), targets{agent_b});
     report(agent_b, 1, segment_outcome::held);
     now += milliseconds(600);
-    balancer.on_tick(now, milliseconds(50), out);
+    balancer.on_table_confirmed(now, now - milliseconds(50), out);
     EXPECT_EQ(resets(), 0U);
 }
 
--- a/src/libperidotcleat/connection/segment_search.cpp
+++ b/src/libperidotcleat/connection/segment_search.cpp
@@ -12,8 +12,6 @@
 
 // A search without an answer is repeated with the caller's next packet.
 constexpr milliseconds search_timeout{150};
-// Added to the age of a table, for what the parent had not heard of when it answered.
-constexpr milliseconds table_margin{200};
 // A search without an outcome by then is given up until the caller speaks again.
 constexpr milliseconds search_memory{5000};
 // Queries a second and at once. A query and its answer take some 25 us of processor time and 160 bytes; after
@@ -142,11 +140,12 @@
     }
 }
 
-// Returns true if nobody holds the flow. That is certain only if every target of a table that is newer than
-// the search has said so: another balancer may have placed the flow on a target that had just joined.
-bool segment_balancer::finish_search(time_point now, const flow_key& key, flow& f, outbox& out)
+// Returns true if nobody holds the flow. That is certain only if every target of a table that was confirmed
+// after the search began has said so: another balancer may have placed the flow on a target that had just
+// joined. The age that a member of control gives is no proof, because a message to it may have been delayed.
+bool segment_balancer::finish_search(const flow_key& key, flow& f, outbox& out)
 {
-    if (now - table_age_ < f.searching->started + table_margin) {
+    if (!confirmed_as_of_ || *confirmed_as_of_ < f.searching->started) {
         return false;
     }
     ask(key, f, out);
@@ -155,13 +154,26 @@
     });
 }
 
-bool segment_balancer::wants_table(time_point now) const
+// Nobody holds the flow.
+void segment_balancer::end_search(flow_map::iterator it, outbox& out)
+{
+    const flow_key key = it->first;
+    reset(key, it->second.acknowledged, error_code::flow_unknown, out);
+    flows_.erase(it);
+}
+
+void segment_balancer::on_table_confirmed(time_point now, time_point as_of, outbox& out)
+{
+    confirmed_as_of_ = as_of;
+    finish_searches(now, out);
+}
+
+bool segment_balancer::wants_confirmation() const
 {
     return std::ranges::any_of(searched_, [&](const flow_key& key) {
         const auto it = flows_.find(key);
         return it != flows_.end() && it->second.searching &&
-               now >= it->second.searching->started + table_margin &&
-               now - table_age_ < it->second.searching->started + table_margin;
+               (!confirmed_as_of_ || *confirmed_as_of_ < it->second.searching->started);
     });
 }
 
@@ -173,11 +185,10 @@
             now - it->second.searching->started > search_memory) {
             return true;
         }
-        if (!finish_search(now, key, it->second, out)) {
+        if (!finish_search(key, it->second, out)) {
             return false;
         }
-        reset(key, it->second.acknowledged, error_code::flow_unknown, out);
-        flows_.erase(it);
+        end_search(it, out);
         return true;
     });
 }
--- a/src/libperidotcleat/version/node_link.cpp
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -16,6 +16,8 @@
 
 // Pulls that follow a notice or a packet with a newer revision are at least this far apart.
 constexpr milliseconds urgent_pull_spacing{100};
+// Requests to confirm are at least this far apart: a few round trips, so that one serves many searches.
+constexpr milliseconds confirm_spacing{50};
 // How often a node that was driven from its preferred parent tries it again, so that relays that were
 // restarted get their children back.
 constexpr milliseconds return_interval{30000};
@@ -132,10 +134,51 @@
     }
 }
 
-void node_link::refresh(time_point now, outbox& out)
+void node_link::confirm(time_point now, outbox& out)
 {
-    if (now - last_pull_ >= urgent_pull_spacing) {
-        pull(now, current_, out);
+    const auto waited = now - confirm_asked_;
+    if (confirm_open_ ? waited < reply_timeout : waited < confirm_spacing) {
+        return;
+    }
+    if (confirm_open_) {
+        leader_.reset();
+        next_probe_ = (next_probe_ + 1) % parents_.size();
+        ask_to_confirm(now, parents_[next_probe_].address, out);
+    } else {
+        ask_to_confirm(now, leader_.value_or(parent()), out);
+    }
+}
+
+void node_link::ask_to_confirm(time_point now, const endpoint& to, outbox& out)
+{
+    wire::pull_request request = make_request();
+    request.__set_confirm(++confirm_number_);
+    confirm_asked_ = now;
+    confirm_open_ = true;
+    out.send(to, std::move(request));
+}
+
+void node_link::take_confirmation(time_point now, const endpoint& from, const wire::pull_reply& reply,
+                                  outbox& out)
+{
+    if (!confirm_open_ || reply.confirm != confirm_number_) {
+        return;
+    }
+    confirm_open_ = false;
+    const bool asked_a_leader = leader_.has_value();
+    leader_.reset();
+    if (reply.__isset.leader) {
+        leader_ = from_wire(reply.leader);
+    } else if (reply.confirmed) {
+        leader_ = from;
+    }
+    const page_outcome outcome = take_page(
+        reply.page, confirm_asked_ - (reply.confirmed ? milliseconds(0) : milliseconds(reply.age_ms)));
+    if (reply.confirmed && (outcome == page_outcome::applied || outcome == page_outcome::current)) {
+        confirmed_as_of_ = confirm_asked_;
+    } else if (leader_ && !reply.confirmed && !asked_a_leader) {
+        // Two processes that name each other as the leader are not asked in a circle.
+        ask_to_confirm(now, *leader_, out);
     }
 }
 
@@ -209,6 +252,18 @@
 }
 
 void node_link::pull(time_point now, std::size_t index, outbox& out)
+{
+    parent_state& parent = parents_[index];
+    if (!parent.unanswered) {
+        parent.unanswered = now;
+    }
+    if (index == current_) {
+        last_pull_ = now;
+    }
+    out.send(parent.address, make_request());
+}
+
+wire::pull_request node_link::make_request() const
 {
     wire::pull_request request;
     request.node = id_.value;
@@ -217,18 +272,32 @@
         request.__set_parents(parents_digest(named_));
     }
     copy_.fill(request);
-    parent_state& parent = parents_[index];
-    if (!parent.unanswered) {
-        parent.unanswered = now;
+    return request;
+}
+
+page_outcome node_link::take_page(const wire::table_page& page, time_point as_of)
+{
+    const page_outcome outcome = copy_.take(page, touched_);
+    if (outcome == page_outcome::applied || outcome == page_outcome::current) {
+        complete_as_of_ = std::max(complete_as_of_.value_or(as_of), as_of);
     }
-    if (index == current_) {
-        last_pull_ = now;
+    if (outcome == page_outcome::applied) {
+        counted_->add(event::pages_applied);
+        changed_ = true;
+        find_own_entry();
+    }
+    if (outcome == page_outcome::mismatch) {
+        counted_->add(event::digest_mismatches);
     }
-    out.send(parent.address, std::move(request));
+    return outcome;
 }
 
 void node_link::take_reply(time_point now, const endpoint& from, const wire::pull_reply& reply, outbox& out)
 {
+    if (reply.__isset.confirm && reply.nonce == nonce_) {
+        take_confirmation(now, from, reply, out);
+        return;
+    }
     auto it = std::ranges::find(parents_, from, &parent_state::address);
     if (it == parents_.end() || reply.nonce != nonce_ || !it->unanswered) {
         return;
@@ -250,19 +319,10 @@
     if (!behind && milliseconds(reply.age_ms) <= settings_.parent_timeout) {
         it->good = now;
     }
-    const page_outcome outcome = copy_.take(reply.page, touched_);
     const bool first = !complete_as_of_;
-    if (outcome == page_outcome::applied || outcome == page_outcome::current) {
-        complete_as_of_ = std::max(complete_as_of_.value_or(as_of), as_of);
-        current_ = first ? index : current_;
-    }
-    if (outcome == page_outcome::applied) {
-        counted_->add(event::pages_applied);
-        changed_ = true;
-        find_own_entry();
-    }
-    if (outcome == page_outcome::mismatch) {
-        counted_->add(event::digest_mismatches);
+    const page_outcome outcome = take_page(reply.page, as_of);
+    if (first && complete_as_of_) {
+        current_ = index;
     }
     update_parent(now, index);
     // A page that brought nothing new waits for the next regular pull: the parent is short of bandwidth.
--- a/src/libperidotcleat/version/node_link_test.cpp
+++ b/src/libperidotcleat/version/node_link_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <set>
 
 namespace peridotcleat {
@@ -70,5 +71,62 @@
     EXPECT_EQ(asked.size(), 3U);
 }
 
+// Guards against a confirmation that counts for a later request than the one it answers, against a leader
+// that is not followed, and against two processes that name each other as the leader and are asked without
+// end.
+TEST(node_link, a_confirmation_counts_for_the_request_that_it_answers)
+{
+    const endpoint first{1, 1};
+    const endpoint leader{1, 2};
+    node_link_settings settings;
+    settings.name = "a";
+    settings.zone = "z";
+    settings.address = {1, 3};
+    settings.parents = {first};
+    counters counted;
+    auto created = node_link::create(settings, counted);
+    ASSERT_TRUE(has_value(created));
+    node_link link = value(std::move(created));
+    time_point now{1s};
+    const auto ask = [&] {
+        outbox out;
+        link.confirm(now, out);
+        return out;
+    };
+    const auto answer = [&](const endpoint& from, std::int32_t number, bool confirmed,
+                            std::optional<endpoint> hint) {
+        wire::pull_reply reply;
+        reply.nonce = link.nonce();
+        reply.age_ms = 0;
+        reply.page = table_state().delta({}, false, 1000);
+        reply.__set_confirm(number);
+        reply.__set_confirmed(confirmed);
+        if (hint) {
+            reply.__set_leader(to_wire(*hint));
+        }
+        outbox out;
+        link.on_message(now, from, reply, out);
+        return out;
+    };
+    ASSERT_EQ(ask().sends.size(), 1U);
+    EXPECT_TRUE(ask().sends.empty());
+    const outbox followed = answer(first, 1, false, leader);
+    ASSERT_EQ(followed.sends.size(), 1U);
+    EXPECT_EQ(followed.sends[0].to, leader);
+    EXPECT_TRUE(answer(leader, 2, false, first).sends.empty());
+    EXPECT_FALSE(link.confirmed_as_of());
+
+    now += 300ms;
+    const time_point third = now;
+    ASSERT_EQ(ask().sends.size(), 1U);
+    now += 300ms;
+    ASSERT_EQ(ask().sends.size(), 1U);
+    (void)answer(first, 3, true, {});
+    EXPECT_FALSE(link.confirmed_as_of());
+    (void)answer(first, 4, true, {});
+    ASSERT_TRUE(link.confirmed_as_of());
+    EXPECT_EQ(*link.confirmed_as_of(), third + 300ms);
+}
+
 }  // namespace
 }  // namespace peridotcleat
--- a/src/libperidotcleat/version/relay.cpp
+++ b/src/libperidotcleat/version/relay.cpp
@@ -63,7 +63,7 @@
 relay::relay(relay_limits limits, counters& counted) : counted_(&counted), limits_(limits) {}
 
 void relay::on_pull(time_point now, const endpoint& from, const wire::pull_request& request,
-                    const table_state& table, milliseconds age, outbox& out)
+                    const table_state& table, const table_standing& standing, outbox& out)
 {
     child_state* child = note_child(now, from, request);
     count_bytes(now, pull_bytes);
@@ -77,7 +77,14 @@
     }
     wire::pull_reply reply;
     reply.nonce = request.nonce;
-    reply.age_ms = static_cast<std::int32_t>(std::clamp(age, milliseconds(0), max_age).count());
+    reply.age_ms = static_cast<std::int32_t>(std::clamp(standing.age, milliseconds(0), max_age).count());
+    if (request.__isset.confirm) {
+        reply.__set_confirm(request.confirm);
+        reply.__set_confirmed(standing.confirmed);
+        if (standing.leader) {
+            reply.__set_leader(to_wire(*standing.leader));
+        }
+    }
     reply.page = table.delta(position, full, max_control_body - page_overhead);
     if (request.__isset.parents && !parents_.empty() && request.parents != parents_digest(parents_)) {
         std::vector<wire::endpoint> parents;
--- a/src/libperidotcleat/version/replica_core.cpp
+++ b/src/libperidotcleat/version/replica_core.cpp
@@ -191,7 +191,8 @@
 
 result<read_ticket> replica_core::begin_read(time_point now)
 {
-    if (const auto refused = refusal(now)) {
+    // The round shows whether this is still the leader, so the lease need not.
+    if (const auto refused = refusal(now); refused && refused->code != error_code::no_quorum) {
         return *refused;
     }
     round_wanted_ = true;
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -3679,6 +3679,11 @@
   this->parents = val;
 __isset.parents = true;
 }
+
+void pull_request::__set_confirm(const int32_t val) {
+  this->confirm = val;
+__isset.confirm = true;
+}
 std::ostream& operator<<(std::ostream& out, const pull_request& obj)
 {
   obj.printTo(out);
@@ -3695,6 +3700,7 @@
   swap(a.full, b.full);
   swap(a.digest, b.digest);
   swap(a.parents, b.parents);
+  swap(a.confirm, b.confirm);
   swap(a.__isset, b.__isset);
 }
 
@@ -3706,6 +3712,7 @@
   full = other286.full;
   digest = other286.digest;
   parents = other286.parents;
+  confirm = other286.confirm;
   __isset = other286.__isset;
 }
 pull_request::pull_request(pull_request&& other287) noexcept {
@@ -3716,6 +3723,7 @@
   full = other287.full;
   digest = other287.digest;
   parents = other287.parents;
+  confirm = other287.confirm;
   __isset = other287.__isset;
 }
 pull_request& pull_request::operator=(const pull_request& other288) noexcept {
@@ -3726,6 +3734,7 @@
   full = other288.full;
   digest = other288.digest;
   parents = other288.parents;
+  confirm = other288.confirm;
   __isset = other288.__isset;
   return *this;
 }
@@ -3737,6 +3746,7 @@
   full = other289.full;
   digest = other289.digest;
   parents = other289.parents;
+  confirm = other289.confirm;
   __isset = other289.__isset;
   return *this;
 }
@@ -3750,6 +3760,7 @@
   out << ", " << "full=" << to_string(full);
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "parents="; (__isset.parents ? (out << to_string(parents)) : (out << "<null>"));
+  out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3947,6 +3958,21 @@
   this->parents = val;
 __isset.parents = true;
 }
+
+void pull_reply::__set_confirm(const int32_t val) {
+  this->confirm = val;
+__isset.confirm = true;
+}
+
+void pull_reply::__set_confirmed(const bool val) {
+  this->confirmed = val;
+__isset.confirmed = true;
+}
+
+void pull_reply::__set_leader(const endpoint& val) {
+  this->leader = val;
+__isset.leader = true;
+}
 std::ostream& operator<<(std::ostream& out, const pull_reply& obj)
 {
   obj.printTo(out);
@@ -3961,6 +3987,9 @@
   swap(a.page, b.page);
   swap(a.crowded, b.crowded);
   swap(a.parents, b.parents);
+  swap(a.confirm, b.confirm);
+  swap(a.confirmed, b.confirmed);
+  swap(a.leader, b.leader);
   swap(a.__isset, b.__isset);
 }
 
@@ -3970,6 +3999,9 @@
   page = other330.page;
   crowded = other330.crowded;
   parents = other330.parents;
+  confirm = other330.confirm;
+  confirmed = other330.confirmed;
+  leader = other330.leader;
   __isset = other330.__isset;
 }
 pull_reply::pull_reply(pull_reply&& other331) noexcept {
@@ -3978,6 +4010,9 @@
   page = std::move(other331.page);
   crowded = other331.crowded;
   parents = std::move(other331.parents);
+  confirm = other331.confirm;
+  confirmed = other331.confirmed;
+  leader = std::move(other331.leader);
   __isset = other331.__isset;
 }
 pull_reply& pull_reply::operator=(const pull_reply& other332) {
@@ -3986,6 +4021,9 @@
   page = other332.page;
   crowded = other332.crowded;
   parents = other332.parents;
+  confirm = other332.confirm;
+  confirmed = other332.confirmed;
+  leader = other332.leader;
   __isset = other332.__isset;
   return *this;
 }
@@ -3995,6 +4033,9 @@
   page = std::move(other333.page);
   crowded = other333.crowded;
   parents = std::move(other333.parents);
+  confirm = other333.confirm;
+  confirmed = other333.confirmed;
+  leader = std::move(other333.leader);
   __isset = other333.__isset;
   return *this;
 }
@@ -4006,6 +4047,9 @@
   out << ", " << "page=" << to_string(page);
   out << ", " << "crowded="; (__isset.crowded ? (out << to_string(crowded)) : (out << "<null>"));
   out << ", " << "parents="; (__isset.parents ? (out << to_string(parents)) : (out << "<null>"));
+  out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
+  out << ", " << "confirmed="; (__isset.confirmed ? (out << to_string(confirmed)) : (out << "<null>"));
+  out << ", " << "leader="; (__isset.leader ? (out << to_string(leader)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -3141,8 +3141,9 @@
 std::ostream& operator<<(std::ostream& out, const cursor& obj);
 
 typedef struct _pull_request__isset {
-  _pull_request__isset() : parents(false) {}
+  _pull_request__isset() : parents(false), confirm(false) {}
   bool parents :1;
+  bool confirm :1;
 } _pull_request__isset;
 
 class pull_request {
@@ -3158,7 +3159,8 @@
                  revision(0),
                  full(0),
                  digest(0),
-                 parents(0) {
+                 parents(0),
+                 confirm(0) {
   }
 
   virtual ~pull_request() noexcept;
@@ -3169,6 +3171,7 @@
   bool full;
   int64_t digest;
   int64_t parents;
+  int32_t confirm;
 
   _pull_request__isset __isset;
 
@@ -3186,6 +3189,8 @@
 
   void __set_parents(const int64_t val);
 
+  void __set_confirm(const int32_t val);
+
   bool operator == (const pull_request & rhs) const
   {
     if (!(node == rhs.node))
@@ -3204,6 +3209,10 @@
       return false;
     else if (__isset.parents && !(parents == rhs.parents))
       return false;
+    if (__isset.confirm != rhs.__isset.confirm)
+      return false;
+    else if (__isset.confirm && !(confirm == rhs.confirm))
+      return false;
     return true;
   }
   bool operator != (const pull_request &rhs) const {
@@ -3342,9 +3351,12 @@
 std::ostream& operator<<(std::ostream& out, const table_page& obj);
 
 typedef struct _pull_reply__isset {
-  _pull_reply__isset() : crowded(false), parents(false) {}
+  _pull_reply__isset() : crowded(false), parents(false), confirm(false), confirmed(false), leader(false) {}
   bool crowded :1;
   bool parents :1;
+  bool confirm :1;
+  bool confirmed :1;
+  bool leader :1;
 } _pull_reply__isset;
 
 class pull_reply {
@@ -3357,7 +3369,9 @@
   pull_reply() noexcept
              : nonce(0),
                age_ms(0),
-               crowded(0) {
+               crowded(0),
+               confirm(0),
+               confirmed(0) {
   }
 
   virtual ~pull_reply() noexcept;
@@ -3366,6 +3380,9 @@
   table_page page;
   bool crowded;
   std::vector<endpoint>  parents;
+  int32_t confirm;
+  bool confirmed;
+  endpoint leader;
 
   _pull_reply__isset __isset;
 
@@ -3379,6 +3396,12 @@
 
   void __set_parents(const std::vector<endpoint> & val);
 
+  void __set_confirm(const int32_t val);
+
+  void __set_confirmed(const bool val);
+
+  void __set_leader(const endpoint& val);
+
   bool operator == (const pull_reply & rhs) const
   {
     if (!(nonce == rhs.nonce))
@@ -3395,6 +3418,18 @@
       return false;
     else if (__isset.parents && !(parents == rhs.parents))
       return false;
+    if (__isset.confirm != rhs.__isset.confirm)
+      return false;
+    else if (__isset.confirm && !(confirm == rhs.confirm))
+      return false;
+    if (__isset.confirmed != rhs.__isset.confirmed)
+      return false;
+    else if (__isset.confirmed && !(confirmed == rhs.confirmed))
+      return false;
+    if (__isset.leader != rhs.__isset.leader)
+      return false;
+    else if (__isset.leader && !(leader == rhs.leader))
+      return false;
     return true;
   }
   bool operator != (const pull_reply &rhs) const {
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -5631,6 +5631,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->confirm);
+          this->__isset.confirm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5690,6 +5698,11 @@
     xfer += oprot->writeI64(this->parents);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.confirm) {
+    xfer += oprot->writeFieldBegin("confirm", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->confirm);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6108,6 +6121,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->confirm);
+          this->__isset.confirm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed);
+          this->__isset.confirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leader.read(iprot);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6162,6 +6199,21 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.confirm) {
+    xfer += oprot->writeFieldBegin("confirm", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->confirm);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.confirmed) {
+    xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->confirmed);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.leader) {
+    xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->leader.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -400,6 +400,7 @@
   5: required bool full         // the staged pages belong to a full table
   6: required i64 digest        // of the applied table
   7: optional i64 parents       // digest of the known parents
+  8: optional i32 confirm       // number of a request that a leader answers once a quorum has confirmed its table
 }
 
 struct table_page {
@@ -424,6 +425,9 @@
   3: required table_page page
   4: optional bool crowded      // the sender has too many children; try another parent
   5: optional list<endpoint> parents  // all control processes, if the node knows others
+  6: optional i32 confirm       // number of the request that asked to confirm
+  7: optional bool confirmed    // the page holds all that was committed when the request came
+  8: optional endpoint leader   // who can confirm, if the sender cannot
 }
 
 struct change_notice {
--- a/src/testing/control_cluster.h
+++ b/src/testing/control_cluster.h
@@ -272,7 +272,7 @@
     {
         if (n.children) {
             if (const auto* pull = std::get_if<wire::pull_request>(&m)) {
-                n.children->on_pull(now, from, *pull, n.link->table(), n.link->age(now), out);
+                n.children->on_pull(now, from, *pull, n.link->table(), {n.link->age(now)}, out);
             } else if (const auto* request = std::get_if<wire::announce>(&m)) {
                 n.children->on_announce(now, *request, n.at, n.link->parent(), out);
             } else if (const auto* answer = std::get_if<wire::announce_reply>(&m);
