Check that a leader without a quorum confirms no table

Cause: the confirmation of tables had no test at the control process. Change: control_test a_table_is_confirmed_by_a_leader_with_a_quorum_only: confirmed while connected, silent when cut off although it still leads.

--- a/src/libperidotcleat/version/control_test.cpp
+++ b/src/libperidotcleat/version/control_test.cpp
@@ -71,6 +71,47 @@
     return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
 }
 
+// Guards against a leader that is cut off and confirms a table which another leader has changed since, and against
+// one that confirms before a quorum has answered.
+TEST(control, a_table_is_confirmed_by_a_leader_with_a_quorum_only)
+{
+    cluster_shape shape;
+    shape.balancers = 0;
+    shape.agents = 0;
+    control_cluster cluster(2, shape);
+    cluster.start_all();
+    cluster.net().run_for(seconds(6));
+    auto* leader = cluster.leader();
+    ASSERT_NE(leader, nullptr);
+    const endpoint asker{0x7f090001, 7000};
+    std::vector<std::int32_t> confirmed;
+    cluster.net().add(
+        asker,
+        [&](time_point, const endpoint&, const message& m, outbox&) {
+            const auto* reply = std::get_if<wire::pull_reply>(&m);
+            if (reply != nullptr && reply->confirmed) {
+                confirmed.push_back(reply->confirm);
+            }
+        },
+        [](time_point, outbox&) {});
+    const auto ask = [&](std::int32_t number) {
+        wire::pull_request request;
+        request.__set_confirm(number);
+        cluster.net().send(asker, leader->at, request);
+        cluster.net().run_for(std::chrono::milliseconds(200));
+    };
+    ask(1);
+    EXPECT_EQ(confirmed, std::vector<std::int32_t>{1});
+    cluster.net().set_quality([&](const endpoint& from, const endpoint& to) {
+        testing::link_quality q;
+        q.loss = from != asker && to != asker && (from == leader->at || to == leader->at) ? 1 : 0;
+        return q;
+    });
+    ask(2);
+    EXPECT_TRUE(leader->role->leading());
+    EXPECT_EQ(confirmed.size(), 1U);
+}
+
 // Guards against accepted versions that are lost, changed or fall back, answers that turn out false, tables
 // that differ, and membership that does not settle, under all faults of the design's failure model.
 TEST(control, invariants_hold_under_faults)
