Log every decision within a limit for each event, and serve metrics

Change: 200 lines a second for each event, what is left out is counted and said; lines go out through a dispatch of easylogging++ that asks poll first and never waits, lost lines are counted.

--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -44,8 +44,8 @@
 
     admin_response handle(const admin_request& r, const counters& counted)
     {
-        if (r.path == "/counters") {
-            return {200, to_json(counted)};
+        if (auto answer = answer_metrics(r, counted)) {
+            return *answer;
         }
         if (r.path == "/status") {
             return loop_.call([this](time_point, outbox&) { return admin_response{200, render()}; });
@@ -91,13 +91,6 @@
     void log_changes()
     {
         const agent_status now = role_.status();
-        if (now.id != logged_.id) {
-            log_event(now.id.valid() ? log_level::info : log_level::warning,
-                      now.id.valid() ? "joined" : "left_table",
-                      {{"incarnation", now.id.value},
-                       {"former", logged_.id.value},
-                       {"flows", as_field(now.flows)}});
-        }
         if (now.draining != logged_.draining || now.empty != logged_.empty) {
             log_event(log_level::info, "state_changed",
                       {{"draining", now.draining ? "true" : "false"},
@@ -250,6 +243,10 @@
     if (!has_value(admin)) {
         return report_failure(failure(admin));
     }
+    const auto metrics = start_metrics(d, counted);
+    if (!has_value(metrics)) {
+        return report_failure(failure(metrics));
+    }
     loop_handlers handlers;
     handlers.on_message = [&](time_point now, const endpoint& from, const message& m, outbox& out) {
         r.on_message(now, from, m, out);
--- a/src/balancer/main.cpp
+++ b/src/balancer/main.cpp
@@ -80,18 +80,22 @@
     }
     shown_status shown;
     auto admin = admin_server::start(d.admin, [&](const admin_request& r) -> admin_response {
-        if (r.path == "/counters") {
-            return {200, to_json(counted)};
+        if (auto answer = answer_metrics(r, counted)) {
+            return *answer;
         }
         if (r.path == "/status") {
             const std::scoped_lock lock(shown.mutex);
             return {200, shown.text};
         }
-        return admin_error(404, {error_code::message_unknown_kind, "no such path: " + r.path});
+        return unknown_path(r);
     });
     if (!has_value(admin)) {
         return report_failure(failure(admin));
     }
+    const auto metrics = start_metrics(d, counted);
+    if (!has_value(metrics)) {
+        return report_failure(failure(metrics));
+    }
     std::shared_ptr<const route_table> in_force;
     loop_handlers handlers;
     handlers.on_message = [&](time_point now, const endpoint& from, const message& m, outbox& out) {
--- a/src/cmake/libraries.cmake
+++ b/src/cmake/libraries.cmake
@@ -5,6 +5,7 @@
   find_package(rapidcheck REQUIRED)
 endif()
 find_package(Threads REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
 # The archive leaves out the parts that load a TLS library into each process.
 find_library(THRIFT_LIBRARY NAMES libthrift.a thrift REQUIRED)
 find_library(DOCOPT_LIBRARY NAMES libdocopt.a docopt REQUIRED)
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -1,12 +1,10 @@
 // Daemon of the control role: binds it to an event loop, a data folder and the operators' HTTP interface.
 
 #include <algorithm>
-#include <cstdlib>
-#include <map>
 #include <string>
-#include <thread>
 
 #include "peridotcleat/control.h"
+#include "peridotcleat/control_host.h"
 #include "peridotcleat/daemon.h"
 #include "peridotcleat/file_storage.h"
 #include "peridotcleat/operator_api.h"
@@ -57,6 +55,9 @@
     return peers;
 }
 
+// Several ticks within a heartbeat.
+constexpr std::chrono::milliseconds tick_period{10};
+
 control_settings read_control(settings& s, const daemon_settings& d)
 {
     control_settings c;
@@ -82,59 +83,6 @@
     return c;
 }
 
-wall_time wall()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-}
-
-// Logs targets and balancers that joined, left or began to drain since the last call.
-class table_log {
-public:
-    void log_changes(const table_state& table)
-    {
-        if (table.current_revision() == seen_) {
-            return;
-        }
-        seen_ = table.current_revision();
-        std::map<incarnation, entry> now;
-        for (const auto& [id, target] : table.targets()) {
-            now[id] = {target.name, target.draining};
-        }
-        for (const auto& [id, node] : table.nodes()) {
-            now[id] = {node.name, false};
-        }
-        for (const auto& [id, e] : now) {
-            const auto former = entries_.find(id);
-            if (former == entries_.end()) {
-                log("node_joined", id, e);
-            } else if (e.draining && !former->second.draining) {
-                log("node_draining", id, e);
-            }
-        }
-        for (const auto& [id, e] : entries_) {
-            if (!now.contains(id)) {
-                log("node_left", id, e);
-            }
-        }
-        entries_ = std::move(now);
-    }
-
-private:
-    struct entry {
-        std::string name;
-        bool draining = false;
-    };
-
-    void log(const char* event, incarnation id, const entry& e) const
-    {
-        log_event(log_level::info, event,
-                  {{"subject", e.name}, {"incarnation", id.value}, {"revision", seen_.value}});
-    }
-
-    revision seen_;
-    std::map<incarnation, entry> entries_;
-};
-
 int run(settings& s)
 {
     const daemon_settings d = read_daemon_settings(s);
@@ -169,45 +117,12 @@
     if (!has_value(admin)) {
         return report_failure(failure(admin));
     }
-    int code = 0;
-    bool was_leading = false;
-    table_log changes;
-    loop_handlers handlers;
-    handlers.on_message = [&](time_point now, const endpoint& from, const message& m, outbox& out) {
-        r.on_message(now, from, m, out);
-    };
-    handlers.on_tick = [&](time_point now, outbox& out) { r.on_tick(now, wall(), out); };
-    handlers.on_batch_end = [&](time_point now, outbox& out) {
-        if (const auto flushed = r.flush(now, out); !has_value(flushed)) {
-            // What failed to become durable must not be acknowledged: nothing of this batch is sent.
-            log_event(log_level::error, "storage_failed",
-                      {{"code", static_cast<std::int64_t>(failure(flushed).code)},
-                       {"reason", failure(flushed).message}});
-            out.clear();
-            code = report_failure(failure(flushed));
-            value(loop)->stop();
-        }
-        api.advance(now);
-        changes.log_changes(r.table());
-        if (r.leading() != was_leading) {
-            was_leading = r.leading();
-            log_event(log_level::info, was_leading ? "leadership_started" : "leadership_ended",
-                      {{"term", r.log().term()}, {"version", r.table().version().value}});
-        }
-    };
-    log_event(log_level::info, "started", {{"listen", to_string(d.listen)}, {"folder", folder}});
-    std::thread signals([&] {
-        wait_for_stop_signal();
-        value(loop)->stop();
-    });
-    value(loop)->run(handlers);
-    if (code != 0) {
-        // The waiting thread has no other way to end.
-        std::quick_exit(code);  // NOLINT(concurrency-mt-unsafe)
+    const auto metrics = start_metrics(d, counted);
+    if (!has_value(metrics)) {
+        return report_failure(failure(metrics));
     }
-    signals.join();
-    log_event(log_level::info, "stopped");
-    return code;
+    log_event(log_level::info, "started", {{"listen", to_string(d.listen)}, {"folder", folder}});
+    return control_host<control_role>(r, *value(loop), api, counted).run(tick_period);
 }
 
 }  // namespace
--- a/src/include/peridotcleat/admin_server.h
+++ b/src/include/peridotcleat/admin_server.h
@@ -22,12 +22,13 @@
     std::string body;
 };
 
-/// Answer of an HTTP interface: status code and a JSON body.
+/// Answer of an HTTP interface: status code and a body.
 struct admin_response {
     int status = 200;
     std::string body;
     /// Where to ask instead, for a redirect.
     std::string location = {};
+    std::string content_type = "application/json";
 };
 
 /// Builds `{"code":n,"name":"...","message":"..."}` with HTTP status `status`.
--- a/src/include/peridotcleat/counters.h
+++ b/src/include/peridotcleat/counters.h
@@ -4,9 +4,11 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
+#include "peridotcleat/distribution.h"
 #include "peridotcleat/result.h"
 
 namespace peridotcleat {
@@ -61,15 +63,38 @@
 /// Returns the stable name of `e`.
 const char* to_string(event e) noexcept;
 
-/// Counters of one role. Thread-safe; increments are relaxed atomic operations.
+/// Durations that are measured, one histogram each.
+enum class latency : std::uint8_t {
+    /// From an opening packet that was passed to a target to its offer (balancer).
+    offer,
+    /// From the first packet of an unknown flow to its holder, or to the certainty that there is none
+    /// (balancer).
+    search,
+    /// From a caller's data to the target's first answer (agent).
+    exchange,
+    /// From the arrival of an operator's change to its answer (control).
+    acceptance,
+    /// Writing and syncing one batch (control).
+    flush,
+    count
+};
+
+/// Returns the stable name of `l`.
+const char* to_string(latency l) noexcept;
+
+/// Counters and latency histograms of one role. Thread-safe; increments are relaxed atomic operations.
 class counters {
 public:
+    counters();
+
     /// Adds `n` to the counter of `e`.
     void add(event e, std::uint64_t n = 1) noexcept;
     /// Counts one refusal with reason `code`.
     void refuse(error_code code) noexcept;
     /// Counts one retry with reason `code`.
     void retry(error_code code) noexcept;
+    /// Adds one observation of `l`.
+    void record(latency l, std::chrono::microseconds duration);
 
     /// Returns the current value.
     [[nodiscard]] std::uint64_t get(event e) const noexcept;
@@ -78,6 +103,11 @@
     /// Returns how often `code` was the reason of a retry.
     [[nodiscard]] std::uint64_t retries(error_code code) const noexcept;
 
+    [[nodiscard]] const distribution& durations(latency l) const
+    {
+        return latencies_[static_cast<std::size_t>(l)];
+    }
+
     /// Returns all counters that are not zero, as `name`, `refused_<reason>` and `retried_<reason>`.
     [[nodiscard]] std::map<std::string, std::uint64_t> snapshot() const;
 
@@ -86,6 +116,7 @@
     std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(event::count)> events_{};
     std::array<std::atomic<std::uint64_t>, code_count> refusals_{};
     std::array<std::atomic<std::uint64_t>, code_count> retries_{};
+    std::deque<distribution> latencies_;
 };
 
 }  // namespace peridotcleat
--- a/src/include/peridotcleat/daemon.h
+++ b/src/include/peridotcleat/daemon.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +20,8 @@
     std::string zone;
     endpoint listen;
     endpoint admin;
+    /// Where metrics are served besides `admin`; may be left out.
+    endpoint metrics;
     cluster_id cluster;
     log_level lowest = log_level::info;
     /// From the system's entropy, different at each start.
@@ -40,6 +44,16 @@
 /// Renders counters as a JSON object.
 std::string to_json(const counters& counted);
 
+/// Answers `/counters` (JSON) and `/metrics` (Prometheus text); nothing for other paths.
+std::optional<admin_response> answer_metrics(const admin_request& r, const counters& counted);
+
+/// Serves the metrics on their own address, if the settings name one; else returns nothing. Fails with
+/// `address_in_use`.
+result<std::unique_ptr<admin_server>> start_metrics(const daemon_settings& d, const counters& counted);
+
+/// Answers a path that a process does not serve.
+admin_response unknown_path(const admin_request& r);
+
 /// Fills the part of a node link's settings that follows from the daemon's.
 node_link_settings link_settings(const daemon_settings& d, node_role role, std::vector<endpoint> parents);
 
--- a/src/include/peridotcleat/distribution.h
+++ b/src/include/peridotcleat/distribution.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace peridotcleat {
 
@@ -28,6 +29,19 @@
     /// Returns the upper edge of the bin that holds the quantile `q` (0 to 1), or 0 without observations.
     [[nodiscard]] double quantile(double q) const;
 
+    /// All observations up to an edge between two bins.
+    struct step {
+        double upper = 0;
+        std::uint64_t count = 0;
+    };
+    /// Observations by bin, summed up, and what they add up to.
+    struct summary {
+        std::vector<step> steps;
+        std::uint64_t count = 0;
+        double sum = 0;
+    };
+    [[nodiscard]] summary summarize() const;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/src/include/peridotcleat/event_loop.h
+++ b/src/include/peridotcleat/event_loop.h
@@ -65,6 +65,9 @@
     std::unique_ptr<impl> impl_;
 };
 
+/// Reads the time of day.
+wall_time wall_now();
+
 /// Blocks SIGINT, SIGTERM and SIGHUP in the calling thread and those that it starts. Call first in `main`.
 void block_stop_signals();
 /// Waits until SIGINT or SIGTERM arrives. Calls `on_reload`, if given, each time SIGHUP arrives.
--- a/src/include/peridotcleat/node_link.h
+++ b/src/include/peridotcleat/node_link.h
@@ -119,6 +119,7 @@
     void ask_to_confirm(time_point now, const endpoint& to, outbox& out);
     void take_confirmation(time_point now, const endpoint& from, const wire::pull_reply& reply, outbox& out);
     page_outcome take_page(const wire::table_page& page, time_point as_of);
+    void watch_control(time_point now);
     void find_first_table(time_point now, outbox& out);
     void keep_current(time_point now, outbox& out);
     void probe(time_point now, outbox& out);
@@ -146,6 +147,7 @@
     std::size_t current_ = 0;
     std::size_t next_probe_ = 0;
     bool started_ = false;
+    bool control_lost_ = false;
     time_point next_pull_;
     time_point last_pull_;
     time_point next_return_;
--- a/src/include/peridotcleat/operator_api.h
+++ b/src/include/peridotcleat/operator_api.h
@@ -76,7 +76,7 @@
                 answer->set(not_leader());
                 return;
             }
-            submitted_[role_.submit_replacement(now, wall(), std::move(wanted))] = answer;
+            submitted_[role_.submit_replacement(now, wall_now(), std::move(wanted))] = {answer, now};
         });
     }
 
@@ -101,8 +101,8 @@
     /// Answers one request of an operator.
     admin_response handle(const admin_request& r)
     {
-        if (r.path == "/counters") {
-            return {200, to_json(counted_)};
+        if (auto answer = answer_metrics(r, counted_)) {
+            return *answer;
         }
         return run([this, r](time_point now, const auto& answer) { start(now, r, answer); });
     }
@@ -112,7 +112,16 @@
     {
         for (operator_answer& a : role_.take_answers()) {
             if (const auto it = submitted_.find(a.id); it != submitted_.end()) {
-                it->second->set(render(a.patch));
+                counted_.record(latency::acceptance, std::chrono::duration_cast<std::chrono::microseconds>(
+                                                         now - it->second.arrived));
+                log_event(log_level::info, "change_answered",
+                          {{"status", to_string(a.patch.status)},
+                           {"version", a.patch.version.value},
+                           {"revision", a.patch.at.value},
+                           {"waited_ms",
+                            std::chrono::duration_cast<std::chrono::milliseconds>(now - it->second.arrived)
+                                .count()}});
+                it->second.answer->set(render(a.patch));
                 submitted_.erase(it);
             }
         }
@@ -127,6 +136,12 @@
         std::function<void(time_point)> then;
     };
 
+    // A change whose answer is not known yet.
+    struct submitted_change {
+        std::shared_ptr<pending_answer> answer;
+        time_point arrived;
+    };
+
     // Runs `task` on the loop's thread and waits for the answer that it gives.
     admin_response run(std::function<void(time_point, const std::shared_ptr<pending_answer>&)> task)
     {
@@ -175,7 +190,7 @@
                 answer->set(refused(failure(name)));
                 return;
             }
-            submitted_[role_.submit_drain(now, wall(), value(name))] = answer;
+            submitted_[role_.submit_drain(now, wall_now(), value(name))] = {answer, now};
         } else if (r.path == "/v1/members/remove") {
             const auto name = parse_single(r.body, "member");
             if (!has_value(name)) {
@@ -197,7 +212,7 @@
 
     void submit(time_point now, const wire::patch& patch, const std::shared_ptr<pending_answer>& answer)
     {
-        submitted_[role_.submit_patch(now, wall(), patch)] = answer;
+        submitted_[role_.submit_patch(now, wall_now(), patch)] = {answer, now};
     }
 
     void plan(time_point now, const admin_request& r, const std::shared_ptr<pending_answer>& answer)
@@ -283,16 +298,11 @@
         return true;
     }
 
-    static wall_time wall()
-    {
-        return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    }
-
     Control& role_;
     event_loop& loop_;
     counters& counted_;
     std::chrono::milliseconds limit_;
-    std::map<ticket, std::shared_ptr<pending_answer>> submitted_;
+    std::map<ticket, submitted_change> submitted_;
     std::vector<waiting_read> reads_;
 };
 
--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -83,6 +83,8 @@
         bool opened = false;
         // The caller has sent data that the target has not begun to answer.
         bool busy = false;
+        // When it became busy.
+        time_point asked;
         bool closing = false;
         // The target was asked by delivery whether it holds the flow.
         bool probing = false;
@@ -101,9 +103,11 @@
                   outbox& out);
     void on_returned(time_point now, const segment& s, std::string_view packet, outbox& out);
     [[nodiscard]] std::optional<error_code> refusal(time_point now) const;
+    [[nodiscard]] std::int64_t announcement_age(time_point now) const;
     [[nodiscard]] bool knows_all_flows(time_point now) const;
     void deliver(std::string_view packet, outbox& out);
-    void note_data(flow& f, const segment& s);
+    void note_data(time_point now, flow& f, const segment& s);
+    void watch_target(time_point now);
     wire::segment_report report_of(const flow_key& key, segment_outcome outcome) const;
     void send_load(time_point now, outbox& out);
     [[nodiscard]] std::int32_t load_permille() const;
@@ -129,6 +133,8 @@
     // Earliest opening packet that the target has not answered with anything.
     std::optional<time_point> unanswered_since_;
     time_point last_probe_;
+    // Why no flows are taken, as logged last; `ok` if they are.
+    error_code logged_refusal_ = error_code::upstream_unreachable;
     std::unordered_map<std::int64_t, time_point> balancers_;
     time_point last_load_;
     time_point last_cleaned_;
--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -106,6 +106,8 @@
         time_point reported;
         bool accepting = true;
         std::optional<time_point> unanswered_since;
+        // What was logged last.
+        bool known_lost = false;
     };
 
     using flow_map = std::unordered_map<flow_key, flow, flow_key_hash>;
@@ -114,7 +116,8 @@
     void on_opening(time_point now, const segment& s, std::string_view packet, outbox& out);
     void on_later(time_point now, const segment& s, std::string_view packet, outbox& out);
     void on_report(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
-    void on_offered(const flow_key& key, const endpoint& from, std::uint32_t sequence);
+    void watch_agents(time_point now);
+    void on_offered(time_point now, const flow_key& key, const endpoint& from, std::uint32_t sequence);
     void on_held(time_point now, const flow_key& key, const endpoint& from, outbox& out);
     void on_declined(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
     void on_absent(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
@@ -124,7 +127,7 @@
     void search_again(time_point now, const flow_key& key, flow& f, std::string_view packet, outbox& out);
     void ask(const flow_key& key, const flow& f, outbox& out) const;
     void on_unsure(const flow_key& key, const endpoint& from, outbox& out);
-    void end_search(flow_map::iterator it, outbox& out);
+    void end_search(time_point now, flow_map::iterator it, outbox& out);
     [[nodiscard]] bool finish_search(const flow_key& key, flow& f, outbox& out);
     [[nodiscard]] bool may_ask(time_point now, const flow_route& route);
     void finish_searches(time_point now, outbox& out);
--- /dev/null
+++ b/src/include/peridotcleat/table_log.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "peridotcleat/table_state.h"
+
+namespace peridotcleat {
+
+/// Logs targets and balancers that joined, left or began to drain: node_joined, node_left, node_draining.
+class table_log {
+public:
+    /// Logs what changed since the last call.
+    void log_changes(const table_state& table);
+
+private:
+    struct entry {
+        std::string name;
+        bool draining = false;
+    };
+
+    void log(const char* event, incarnation id, const entry& e) const;
+
+    revision seen_;
+    std::map<incarnation, entry> entries_;
+};
+
+}  // namespace peridotcleat
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -69,7 +69,7 @@
         // No flow is admitted before the first announcement, so the target holds none yet.
         started_ = now - settings_.max_flow_age - age_margin;
     }
-    const bool changed = !target_ || target_->draining != a.draining;
+    const bool changed = !target_ || target_->draining != a.draining || target_->started_ms != a.started_ms;
     last_started_ms_ = a.started_ms;
     target_ = a;
     announced_ = now;
@@ -101,6 +101,31 @@
     send_load(now, out);
 }
 
+// Logs when the target begins or ceases to take new flows, and why.
+void segment_agent::watch_target(time_point now)
+{
+    const bool silent = unanswered_since_ && now - *unanswered_since_ > target_timeout;
+    const error_code reason =
+        silent ? error_code::upstream_unreachable : refusal(now).value_or(error_code::ok);
+    if (reason == logged_refusal_) {
+        return;
+    }
+    logged_refusal_ = reason;
+    log_event(reason == error_code::ok ? log_level::info : log_level::warning, "admission_changed",
+              {{"accepting", reason == error_code::ok ? "true" : "false"},
+               {"reason", to_string(reason)},
+               {"announced_ms", announcement_age(now)},
+               {"unanswered_ms",
+                silent ? std::chrono::duration_cast<milliseconds>(now - *unanswered_since_).count() : 0},
+               {"flows", static_cast<std::int64_t>(flows_.size())}});
+}
+
+// Milliseconds since the target was heard, or -1 if it was not.
+std::int64_t segment_agent::announcement_age(time_point now) const
+{
+    return target_ ? std::chrono::duration_cast<milliseconds>(now - announced_).count() : -1;
+}
+
 std::optional<error_code> segment_agent::refusal(time_point now) const
 {
     if (stopping_) {
@@ -202,7 +227,7 @@
             log_event(log_level::info, "flow_refused",
                       {{"flow", to_string(s.key)},
                        {"reason", to_string(*reason)},
-                       {"announced_ms", std::chrono::duration_cast<milliseconds>(now - announced_).count()}});
+                       {"announced_ms", announcement_age(now)}});
             auto report = report_of(s.key, segment_outcome::declined);
             report.__set_reason(static_cast<std::int16_t>(*reason));
             report.__set_packet(m.packet);
@@ -255,9 +280,13 @@
     if (f.offered && !f.opened) {
         f.opened = true;
         counted_->add(event::flows_opened);
-        log_event(log_level::debug, "flow_opened", {{"flow", to_string(s.key)}});
+        log_event(log_level::info, "flow_accepted",
+                  {{"flow", to_string(s.key)},
+                   {"flows", static_cast<std::int64_t>(flows_.size())},
+                   {"load_permille", std::int64_t{load_permille()}}});
     }
     if (s.length > 0) {
+        f.asked = f.busy ? f.asked : now;
         set_busy(f, true);
     }
     f.closing = f.closing || s.resets;
@@ -317,7 +346,7 @@
             out.send(f.balancer, std::move(report));
         }
     } else {
-        note_data(f, *s);
+        note_data(now, f, *s);
         if (f.probing) {
             f.probing = false;
             f.opened = true;
@@ -327,10 +356,14 @@
     out.packets.push_back({{key.source.address, settings_.caller_port}, std::string(packet)});
 }
 
-void segment_agent::note_data(flow& f, const segment& s)
+void segment_agent::note_data(time_point now, flow& f, const segment& s)
 {
     if (s.length > 0) {
         f.opened = true;
+        if (f.busy) {
+            counted_->record(latency::exchange,
+                             std::chrono::duration_cast<std::chrono::microseconds>(now - f.asked));
+        }
         set_busy(f, false);
     }
     if (s.finishes || s.resets) {
@@ -340,7 +373,7 @@
 }
 
 // The target does not hold the flow of the packet, or cannot accept it.
-void segment_agent::on_returned(time_point /*now*/, const segment& s, std::string_view packet, outbox& out)
+void segment_agent::on_returned(time_point now, const segment& s, std::string_view packet, outbox& out)
 {
     const auto it = flows_.find(s.key);
     if (it == flows_.end()) {
@@ -349,6 +382,11 @@
     std::string original(packet);
     settings_.format.restore(original);
     flow& f = it->second;
+    log_event(log_level::info, "flow_returned",
+              {{"flow", to_string(s.key)},
+               {"opens", s.opens ? "true" : "false"},
+               {"opened", f.opened ? "true" : "false"},
+               {"age_ms", std::chrono::duration_cast<milliseconds>(now - f.opened_at).count()}});
     if (s.opens) {
         counted_->refuse(error_code::shed_by_upstream);
         auto report = report_of(s.key, segment_outcome::declined);
@@ -408,6 +446,7 @@
 {
     if (now - last_load_ >= load_interval) {
         last_load_ = now;
+        watch_target(now);
         busy_average_ += busy_weight * (static_cast<double>(busy_) - busy_average_);
         young_ = (young_ * young_decay) + static_cast<double>(opened_since_tick_);
         opened_since_tick_ = 0;
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -34,6 +34,11 @@
 constexpr milliseconds early_time{1200};
 constexpr std::int64_t out_of_service = 1'000'000;
 
+std::chrono::microseconds as_microseconds(clock::duration d)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(d);
+}
+
 std::int64_t number(const endpoint& e) { return route_number(e); }
 
 }  // namespace
@@ -257,6 +262,11 @@
     if (!f.holder) {
         f.holder = holder_by_sequence(f, s.acknowledged);
         if (f.holder) {
+            log_event(log_level::info, "flow_opened",
+                      {{"flow", to_string(s.key)},
+                       {"agent", to_string(*f.holder)},
+                       {"attempts", static_cast<std::int64_t>(f.placements.size())},
+                       {"version", routes_->version()}});
             f.placements.clear();
             counted_->add(event::flows_opened);
         }
@@ -283,7 +293,8 @@
         l.placed_since = 0;
         on_report(now, from, *report, out);
     } else if (const auto* load = std::get_if<wire::segment_load>(&m)) {
-        loads_[number(from)] = {load->load_permille, 0, now, load->accepting, std::nullopt};
+        target_load& l = loads_[number(from)];
+        l = {load->load_permille, 0, now, load->accepting, std::nullopt, l.known_lost};
     }
 }
 
@@ -293,7 +304,7 @@
     switch (static_cast<segment_outcome>(report.outcome)) {
     case segment_outcome::offered:
         loads_[number(from)].accepting = true;
-        on_offered(from_wire(report.key), from, static_cast<std::uint32_t>(report.sequence));
+        on_offered(now, from_wire(report.key), from, static_cast<std::uint32_t>(report.sequence));
         break;
     case segment_outcome::held: on_held(now, from_wire(report.key), from, out); break;
     case segment_outcome::declined: on_declined(now, from, report, out); break;
@@ -303,7 +314,8 @@
     }
 }
 
-void segment_balancer::on_offered(const flow_key& key, const endpoint& from, std::uint32_t sequence)
+void segment_balancer::on_offered(time_point now, const flow_key& key, const endpoint& from,
+                                  std::uint32_t sequence)
 {
     const auto it = flows_.find(key);
     if (it == flows_.end()) {
@@ -311,6 +323,9 @@
     }
     const auto p = std::ranges::find(it->second.placements, from, &placement::agent);
     if (p != it->second.placements.end()) {
+        if (!p->offered) {
+            counted_->record(latency::offer, as_microseconds(now - p->asked));
+        }
         p->offered = true;
         p->sequence = sequence;
     }
@@ -330,6 +345,13 @@
     f.placements.clear();
     const auto searched = std::move(f.searching);
     if (searched) {
+        const auto waited = as_microseconds(now - searched->started);
+        counted_->record(latency::search, waited);
+        log_event(log_level::info, "flow_found",
+                  {{"flow", to_string(key)},
+                   {"agent", to_string(from)},
+                   {"waited_ms", waited.count() / 1000},
+                   {"denied", static_cast<std::int64_t>(searched->absent.size())}});
         const std::size_t delivered = contains(searched->probed, from) ? 1 : 0;
         for (std::size_t i = delivered; i < searched->waiting.size(); ++i) {
             forward(from, f.service, segment_purpose::held, searched->waiting[i], out);
@@ -377,7 +399,7 @@
             f.searching->absent.push_back(from);
         }
         if (finish_search(key, f, out)) {
-            end_search(it, out);
+            end_search(now, it, out);
         }
         return;
     }
@@ -438,9 +460,25 @@
         early_openings_.clear();
     }
     std::erase_if(flows_, [now](const auto& item) { return now - item.second.used > cache_time; });
+    watch_agents(now);
     std::erase_if(loads_, [now](const auto& item) {
         return now - item.second.reported > cache_time && !item.second.unanswered_since;
     });
 }
 
+// Logs targets whose agent has stopped or begun to answer placements.
+void segment_balancer::watch_agents(time_point now)
+{
+    for (auto& [agent, l] : loads_) {
+        const bool lost = l.unanswered_since && now - *l.unanswered_since > answer_timeout;
+        if (lost == l.known_lost) {
+            continue;
+        }
+        l.known_lost = lost;
+        log_event(lost ? log_level::warning : log_level::info, lost ? "agent_lost" : "agent_regained",
+                  {{"agent", to_string(route_address(agent))},
+                   {"heard_ms", std::chrono::duration_cast<milliseconds>(now - l.reported).count()}});
+    }
+}
+
 }  // namespace peridotcleat
--- a/src/libperidotcleat/connection/segment_search.cpp
+++ b/src/libperidotcleat/connection/segment_search.cpp
@@ -155,9 +155,11 @@
 }
 
 // Nobody holds the flow.
-void segment_balancer::end_search(flow_map::iterator it, outbox& out)
+void segment_balancer::end_search(time_point now, flow_map::iterator it, outbox& out)
 {
     const flow_key key = it->first;
+    counted_->record(latency::search, std::chrono::duration_cast<std::chrono::microseconds>(
+                                          now - it->second.searching->started));
     reset(key, it->second.acknowledged, error_code::flow_unknown, out);
     flows_.erase(it);
 }
@@ -188,7 +190,7 @@
         if (!finish_search(key, it->second, out)) {
             return false;
         }
-        end_search(it, out);
+        end_search(now, it, out);
         return true;
     });
 }
--- a/src/libperidotcleat/process/admin_server.cpp
+++ b/src/libperidotcleat/process/admin_server.cpp
@@ -60,11 +60,11 @@
         } catch (const std::exception& e) {
             answer = admin_error(400, {error_code::message_malformed, e.what()});
         }
-        response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
+        response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
         if (!answer.location.empty()) {
             response.set("Location", answer.location);
         }
-        response.setContentType("application/json");
+        response.setContentType(answer.content_type);
         response.setContentLength(static_cast<std::streamsize>(answer.body.size()));
         response.send() << answer.body;
     }
--- a/src/libperidotcleat/process/counters.cpp
+++ b/src/libperidotcleat/process/counters.cpp
@@ -2,6 +2,15 @@
 
 namespace peridotcleat {
 
+namespace {
+
+// Milliseconds: from a delivery within one machine to the time limit of a request. Four bins a decade.
+constexpr double lowest_latency_ms = 0.1;
+constexpr double highest_latency_ms = 10000;
+constexpr unsigned latency_bins = 20;
+
+}  // namespace
+
 const char* to_string(event e) noexcept
 {
     switch (e) {
@@ -52,6 +61,31 @@
     return "unknown";
 }
 
+const char* to_string(latency l) noexcept
+{
+    switch (l) {
+    case latency::offer: return "offer";
+    case latency::search: return "search";
+    case latency::exchange: return "exchange";
+    case latency::acceptance: return "acceptance";
+    case latency::flush: return "flush";
+    case latency::count: break;
+    }
+    return "unknown";
+}
+
+counters::counters()
+{
+    for (std::size_t i = 0; i < static_cast<std::size_t>(latency::count); ++i) {
+        latencies_.emplace_back(lowest_latency_ms, highest_latency_ms, latency_bins);
+    }
+}
+
+void counters::record(latency l, std::chrono::microseconds duration)
+{
+    latencies_[static_cast<std::size_t>(l)].record(duration);
+}
+
 void counters::add(event e, std::uint64_t n) noexcept
 {
     events_[static_cast<std::size_t>(e)].fetch_add(n, std::memory_order_relaxed);
--- a/src/libperidotcleat/process/daemon.cpp
+++ b/src/libperidotcleat/process/daemon.cpp
@@ -7,6 +7,8 @@
 #include <random>
 #include <sstream>
 
+#include "peridotcleat/metrics.h"
+
 namespace peridotcleat {
 
 namespace {
@@ -49,6 +51,7 @@
   --zone=S        Availability zone of this process.
   --listen=A      Address for messages of other processes, a.b.c.d:port (UDP).
   --admin=A       Address of the HTTP interface.
+  --metrics=A     A further address for /metrics; left out, only --admin serves it.
   --cluster=N     Id of the cluster; messages of others are refused [default: 1].
   --log=S         Lowest level that is logged: debug, info, warning or error [default: info].
   --check         Validates the settings and exits.
@@ -66,6 +69,7 @@
     d.zone = read_name(s, "--zone");
     d.listen = s.address("--listen");
     d.admin = s.address("--admin");
+    d.metrics = s.address("--metrics", false);
     d.cluster = cluster_id{s.integer("--cluster", 1, INT64_MAX)};
     d.lowest = read_level(s);
     // Not a setting: nonces come from the seed, and a restarted process must never repeat a nonce.
@@ -114,6 +118,33 @@
     return text.str();
 }
 
+std::optional<admin_response> answer_metrics(const admin_request& r, const counters& counted)
+{
+    if (r.path == "/counters") {
+        return admin_response{200, to_json(counted)};
+    }
+    if (r.path == "/metrics") {
+        return admin_response{200, to_metrics(counted), {}, "text/plain; version=0.0.4"};
+    }
+    return std::nullopt;
+}
+
+result<std::unique_ptr<admin_server>> start_metrics(const daemon_settings& d, const counters& counted)
+{
+    if (!d.metrics.valid()) {
+        return std::unique_ptr<admin_server>();
+    }
+    return admin_server::start(
+        d.metrics,
+        [&counted](const admin_request& r) { return answer_metrics(r, counted).value_or(unknown_path(r)); },
+        1);
+}
+
+admin_response unknown_path(const admin_request& r)
+{
+    return admin_error(404, {error_code::message_unknown_kind, "no such path: " + r.path});
+}
+
 node_link_settings link_settings(const daemon_settings& d, node_role role, std::vector<endpoint> parents)
 {
     node_link_settings l;
--- a/src/libperidotcleat/process/distribution.cpp
+++ b/src/libperidotcleat/process/distribution.cpp
@@ -16,10 +16,11 @@
     mutable std::mutex mutex;
     histogram bins;
     std::uint64_t total = 0;
+    double sum = 0;
 };
 
 distribution::distribution(double low, double high, unsigned bins)
-    : impl_(new impl{{}, boost::histogram::make_histogram(axis(bins, low, high)), 0})
+    : impl_(new impl{{}, boost::histogram::make_histogram(axis(bins, low, high)), 0, 0})
 {
 }
 
@@ -30,6 +31,7 @@
     const std::scoped_lock lock(impl_->mutex);
     impl_->bins(value);
     ++impl_->total;
+    impl_->sum += value;
 }
 
 void distribution::record(std::chrono::microseconds value)
@@ -62,4 +64,18 @@
     return edge;
 }
 
+distribution::summary distribution::summarize() const
+{
+    const std::scoped_lock lock(impl_->mutex);
+    summary s;
+    s.count = impl_->total;
+    s.sum = impl_->sum;
+    std::uint64_t seen = 0;
+    for (auto&& bin : boost::histogram::indexed(impl_->bins, boost::histogram::coverage::all)) {
+        seen += static_cast<std::uint64_t>(*bin);
+        s.steps.push_back({bin.bin().upper(), seen});
+    }
+    return s;
+}
+
 }  // namespace peridotcleat
--- a/src/libperidotcleat/process/event_loop.cpp
+++ b/src/libperidotcleat/process/event_loop.cpp
@@ -262,6 +262,11 @@
     }
 }
 
+wall_time wall_now()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
 namespace {
 
 sigset_t stop_signals()
--- a/src/libperidotcleat/process/log.cpp
+++ b/src/libperidotcleat/process/log.cpp
@@ -1,12 +1,16 @@
 #include "peridotcleat/log.h"
 
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
-#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <string>
 
+#include "peridotcleat/log_budget.h"
+
 namespace peridotcleat {
 
 namespace {
@@ -24,34 +28,53 @@
     return level;
 }
 
-// Lines below a warning that are written in a second; more are left out and counted, so that a flood of
-// packets does not turn into a flood of lines.
-constexpr std::int64_t lines_per_second = 500;
+// A flood of packets must not turn into a flood of lines: one line takes some 10 us of processor time, so
+// this is 0.2 % of a core for each event.
+constexpr std::int64_t lines_per_second = 200;
+// A pipe that is ready takes at least this much without blocking (POSIX PIPE_BUF on Linux).
+constexpr std::size_t max_line = 4096;
+
+log_budget& budget()
+{
+    static log_budget instance(lines_per_second);
+    return instance;
+}
+
+std::atomic<std::uint64_t>& lost_lines()
+{
+    static std::atomic<std::uint64_t> lost{0};
+    return lost;
+}
 
-// Counts lines in seconds of the steady clock. Thread-safe; the count may be a few lines off between threads.
-class line_limit {
-public:
-    /// Returns true if a line may be written; `left_out` is set to the lines that the last second left out.
-    bool admit(std::int64_t& left_out)
+// Writes to standard output and never waits for who reads it: what does not fit is lost and counted.
+class output_writer : public el::LogDispatchCallback {
+protected:
+    void handle(const el::LogDispatchData* data) override
     {
-        const auto now = std::chrono::steady_clock::now().time_since_epoch();
-        const auto second = std::chrono::duration_cast<std::chrono::seconds>(now).count();
-        left_out = 0;
-        if (second_.exchange(second) != second) {
-            left_out = std::max<std::int64_t>(lines_.exchange(0) - lines_per_second, 0);
+        std::string line = data->logMessage()->logger()->logBuilder()->build(data->logMessage(), true);
+        if (line.size() > max_line) {
+            line.resize(max_line);
+            line.back() = '\n';
+        }
+        pollfd out{STDOUT_FILENO, POLLOUT, 0};
+        const bool writable = ::poll(&out, 1, 0) == 1 && (out.revents & (POLLERR | POLLNVAL)) == 0;
+        if (!writable ||
+            ::write(STDOUT_FILENO, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+            ++lost_lines();
         }
-        return ++lines_ <= lines_per_second;
     }
-
-private:
-    std::atomic<std::int64_t> second_{0};
-    std::atomic<std::int64_t> lines_{0};
 };
 
-line_limit& limit()
+void write_line(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
+// Says what the last second left out. The lines of this event have the same limit.
+void report_left_out(std::chrono::steady_clock::time_point now)
 {
-    static line_limit instance;
-    return instance;
+    for (const left_out_lines& l : budget().take_left_out(now)) {
+        if (budget().admit("lines_left_out", now)) {
+            write_line(log_level::warning, "lines_left_out", {{"of", l.event}, {"lines", l.lines}});
+        }
+    }
 }
 
 std::string quoted(const std::string& value)
@@ -70,6 +93,23 @@
     return text + '"';
 }
 
+void write_line(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    std::string line = "event=" + std::string(event) + " node=" + quoted(node_name());
+    for (const log_field& f : fields) {
+        line += ' ';
+        line += f.key;
+        line += '=';
+        line += quoted(f.value);
+    }
+    switch (level) {
+    case log_level::debug: LOG(DEBUG) << line; break;
+    case log_level::info: LOG(INFO) << line; break;
+    case log_level::warning: LOG(WARNING) << line; break;
+    case log_level::error: LOG(ERROR) << line; break;
+    }
+}
+
 }  // namespace
 
 void start_logging(std::string_view node, log_level lowest)
@@ -83,6 +123,11 @@
     config.setGlobally(el::ConfigurationType::Format,
                        "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
     el::Loggers::reconfigureAllLoggers(config);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<output_writer>("output_writer");
+    // A reader of standard output that has gone must not end the process.
+    (void)std::signal(SIGPIPE, SIG_IGN);
 }
 
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
@@ -90,29 +135,15 @@
     if (level < lowest_level()) {
         return;
     }
-    if (level < log_level::warning) {
-        std::int64_t left_out = 0;
-        const bool admitted = limit().admit(left_out);
-        if (left_out > 0) {
-            LOG(WARNING) << "event=lines_left_out node=" << quoted(node_name()) << " lines=" << left_out;
-        }
-        if (!admitted) {
-            return;
-        }
-    }
-    std::string line = "event=" + std::string(event) + " node=" + quoted(node_name());
-    for (const log_field& f : fields) {
-        line += ' ';
-        line += f.key;
-        line += '=';
-        line += quoted(f.value);
-    }
-    switch (level) {
-    case log_level::debug: LOG(DEBUG) << line; break;
-    case log_level::info: LOG(INFO) << line; break;
-    case log_level::warning: LOG(WARNING) << line; break;
-    case log_level::error: LOG(ERROR) << line; break;
+    const auto now = std::chrono::steady_clock::now();
+    report_left_out(now);
+    if (budget().admit(event, now)) {
+        write_line(level, event, fields);
     }
 }
 
+std::uint64_t log_lines_left_out() { return budget().left_out(); }
+
+std::uint64_t log_lines_lost() { return lost_lines(); }
+
 }  // namespace peridotcleat
--- a/src/libperidotcleat/version/node_link.cpp
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "peridotcleat/hash.h"
+#include "peridotcleat/log.h"
 #include "peridotcleat/relay.h"
 
 namespace peridotcleat {
@@ -38,6 +39,11 @@
     return static_cast<std::int64_t>((random() & nonce_mask) | 1U);
 }
 
+std::int64_t as_milliseconds(clock::duration d)
+{
+    return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
 std::uint64_t preference(const std::string& name, const endpoint& parent)
 {
     return combine(hash_bytes(name), (std::uint64_t{parent.address} << 16U) | parent.port);
@@ -192,6 +198,7 @@
         next_return_ = now + return_interval;
         parents_[current_].good = now;
     }
+    watch_control(now);
     if (table().current_revision() == revision{}) {
         find_first_table(now, out);
     } else {
@@ -203,6 +210,20 @@
     }
 }
 
+// Logs when the table has become too old to rely on, and when it is current again.
+void node_link::watch_control(time_point now)
+{
+    const bool lost = complete_as_of_ && age(now) > settings_.parent_timeout;
+    if (lost == control_lost_) {
+        return;
+    }
+    control_lost_ = lost;
+    log_event(lost ? log_level::warning : log_level::info, lost ? "control_lost" : "control_regained",
+              {{"parent", to_string(parent())},
+               {"table_age_ms", as_milliseconds(age(now))},
+               {"revision", table().current_revision().value}});
+}
+
 // Asks one parent after the other, because none is known to be up, and each once in a join interval: after a
 // loss of all power every node asks, and a repeated request costs a busy parent a page. Parents that were
 // emptied answer too, and have nothing.
@@ -347,6 +368,12 @@
     const bool preferred = index == 0 && other_good && !other.crowded;
     const bool roomier = current.crowded && other_good && !other.crowded;
     if (preferred || roomier || (current_late && (other_good || fresher))) {
+        log_event(log_level::info, "parent_changed",
+                  {{"from", to_string(current.address)},
+                   {"to", to_string(other.address)},
+                   {"reason", preferred ? "preferred" : (roomier ? "crowded" : "late")},
+                   {"silent_ms", as_milliseconds(now - current.good)},
+                   {"revision", table().current_revision().value}});
         current_ = index;
         next_return_ = now + jittered(return_interval);
         counted_->add(event::parent_changes);
@@ -414,6 +441,8 @@
     id_ = id;
     removed_ = false;
     counted_->add(event::joins);
+    log_event(log_level::info, "joined",
+              {{"incarnation", id.value}, {"revision", table().current_revision().value}});
 }
 
 bool node_link::listed(incarnation id) const
@@ -445,6 +474,10 @@
     }
     removed_ = true;
     counted_->add(event::leaves);
+    log_event(log_level::warning, "left_table",
+              {{"incarnation", id_.value},
+               {"revision", table().current_revision().value},
+               {"leaving", state_ == node_state::leaving ? "true" : "false"}});
     if (state_ != node_state::leaving) {
         // Removed while alive, for example after a long partition: a new incarnation joins.
         id_ = {};
