Read the platform's bounds, beat and losses as settings

Cause: flow age, pull interval, grace, the beat of announcements and the number of voters were constants that fit the two deployments at hand; a beat of 2 s would have made every agent refuse its target's flows after 3 s. Tests: settings_test durations_may_have_a_fraction and a_default_belongs_to_the_flag_of_its_line.

--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -27,7 +27,7 @@
     /// A target that has not announced itself for so long takes no new flows.
     std::chrono::milliseconds announcement_timeout{3000};
     /// Callers discard flows that are older.
-    std::chrono::seconds max_flow_age{60};
+    std::chrono::milliseconds max_flow_age{60000};
 };
 
 /// What a target says of itself.
--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -27,6 +27,9 @@
     /// A target in another zone is chosen only if it is less loaded by this share of its slots, in
     /// thousandths.
     std::int32_t zone_penalty_permille = 500;
+    /// Callers discard flows that are older. A flow that was silent for longer is searched for when it speaks
+    /// again.
+    std::chrono::milliseconds max_flow_age{60000};
 };
 
 /// Places new flows on targets and passes the packets of open flows to the agent that holds them.
--- a/src/include/peridotcleat/settings.h
+++ b/src/include/peridotcleat/settings.h
@@ -34,9 +34,13 @@
     std::string text(const std::string& flag, bool required = true);
     /// Returns an integer in [`low`, `high`], or records `invalid_setting`.
     std::int64_t integer(const std::string& flag, std::int64_t low, std::int64_t high);
-    /// Returns a duration given in milliseconds in [`low`, `high`], or records `invalid_setting`.
+    /// Returns a duration given in milliseconds, with or without a fraction, in [`low`, `high`], or records
+    /// `invalid_setting`.
     std::chrono::milliseconds milliseconds(const std::string& flag, std::chrono::milliseconds low,
                                            std::chrono::milliseconds high);
+    /// As `milliseconds`, for a duration given in seconds.
+    std::chrono::milliseconds seconds(const std::string& flag, std::chrono::milliseconds low,
+                                      std::chrono::milliseconds high);
     /// Returns an endpoint `a.b.c.d:port`, or records `invalid_setting`.
     endpoint address(const std::string& flag, bool required = true);
     /// Returns endpoints separated by commas, or records `invalid_setting`.
@@ -53,6 +57,8 @@
     [[nodiscard]] bool report() const;
 
 private:
+    std::chrono::milliseconds duration(const std::string& flag, double unit_ms, std::chrono::milliseconds low,
+                                       std::chrono::milliseconds high);
     std::map<std::string, std::string> values_;
     std::vector<error> errors_;
 };
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -11,8 +11,8 @@
 
 using std::chrono::milliseconds;
 
-// A flow that is silent for longer is searched for when it speaks again; callers keep flows for 60 s.
-constexpr milliseconds cache_time{65000};
+// Added to the greatest age of a flow, for packets on their way.
+constexpr milliseconds age_margin{5000};
 constexpr milliseconds clean_interval{1000};
 // A quarter of a million flows are 60 MB; beyond that the oldest knowledge is searched for again.
 constexpr std::size_t max_flows = 250'000;
@@ -459,9 +459,10 @@
     if (early_.empty()) {
         early_openings_.clear();
     }
-    std::erase_if(flows_, [now](const auto& item) { return now - item.second.used > cache_time; });
+    const auto cache_time = settings_.max_flow_age + age_margin;
+    std::erase_if(flows_, [=](const auto& item) { return now - item.second.used > cache_time; });
     watch_agents(now);
-    std::erase_if(loads_, [now](const auto& item) {
+    std::erase_if(loads_, [=](const auto& item) {
         return now - item.second.reported > cache_time && !item.second.unanswered_since;
     });
 }
--- a/src/libperidotcleat/process/settings.cpp
+++ b/src/libperidotcleat/process/settings.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -13,6 +14,9 @@
 
 namespace {
 
+// A usage text describes each flag at the start of a line.
+constexpr std::string_view flag_mark = "\n  --";
+
 std::string variable_of(const std::string& flag)
 {
     std::string name = "PERIDOTCLEAT_";
@@ -48,10 +52,12 @@
     std::map<std::string, std::string> defaults;
     for (std::size_t at = usage.find(mark); at != std::string::npos; at = usage.find(mark, at)) {
         const std::size_t end = usage.find(']', at);
-        const std::size_t flag = usage.rfind("--", at);
-        if (end == std::string::npos || flag == std::string::npos) {
+        // The text of a flag may name another one.
+        const std::size_t line = usage.rfind(flag_mark, at);
+        if (end == std::string::npos || line == std::string::npos) {
             break;
         }
+        const std::size_t flag = line + flag_mark.size() - 2;
         const std::string name = usage.substr(flag, usage.find_first_of(" =\n", flag) - flag);
         defaults[name] = usage.substr(at + mark.size(), end - at - mark.size());
         usage.erase(at, end + 1 - at);
@@ -62,10 +68,10 @@
 // Names the flags that a usage text describes, each at the start of its line.
 std::vector<std::string> flags_in(const std::string& usage)
 {
-    static const std::string mark = "\n  --";
     std::vector<std::string> flags;
-    for (std::size_t at = usage.find(mark); at != std::string::npos; at = usage.find(mark, at + 1)) {
-        const std::size_t begin = at + mark.size() - 2;
+    for (std::size_t at = usage.find(flag_mark); at != std::string::npos;
+         at = usage.find(flag_mark, at + 1)) {
+        const std::size_t begin = at + flag_mark.size() - 2;
         flags.push_back(usage.substr(begin, usage.find_first_of(" =\n", begin) - begin));
     }
     return flags;
@@ -200,7 +206,35 @@
 std::chrono::milliseconds settings::milliseconds(const std::string& flag, std::chrono::milliseconds low,
                                                  std::chrono::milliseconds high)
 {
-    return std::chrono::milliseconds(integer(flag, low.count(), high.count()));
+    return duration(flag, 1, low, high);
+}
+
+std::chrono::milliseconds settings::seconds(const std::string& flag, std::chrono::milliseconds low,
+                                            std::chrono::milliseconds high)
+{
+    return duration(flag, 1000, low, high);
+}
+
+std::chrono::milliseconds settings::duration(const std::string& flag, double unit_ms,
+                                             std::chrono::milliseconds low, std::chrono::milliseconds high)
+{
+    const std::string given = text(flag);
+    if (given.empty()) {
+        return low;
+    }
+    double number = 0;
+    const auto [ptr, ec] = std::from_chars(given.data(), given.data() + given.size(), number);
+    const double ms = number * unit_ms;
+    // Written so that a value that is no number is out of range too.
+    const bool within = ms >= static_cast<double>(low.count()) && ms <= static_cast<double>(high.count());
+    if (ec != std::errc{} || ptr != given.data() + given.size() || !within) {
+        const auto bound = [unit_ms](std::chrono::milliseconds m) {
+            return std::to_string(std::llround(static_cast<double>(m.count()) / unit_ms));
+        };
+        reject(error_code::invalid_setting, flag, given, bound(low) + " to " + bound(high));
+        return low;
+    }
+    return std::chrono::milliseconds(std::llround(ms));
 }
 
 endpoint settings::address(const std::string& flag, bool required)
--- a/src/libperidotcleat/process/settings_test.cpp
+++ b/src/libperidotcleat/process/settings_test.cpp
@@ -17,6 +17,7 @@
   --count=N   A number [default: 5].
   --at=A      An address.
   --list=A    Addresses.
+  --more=N    A number beside --list [default: 8].
   --check     A switch.
 )";
 
@@ -53,6 +54,33 @@
     EXPECT_FALSE(s.report());
 }
 
+// Guards against a duration with a fraction that keeps a program from starting, and against one that is not a
+// number or out of range and is taken.
+TEST(settings, durations_may_have_a_fraction)
+{
+    using namespace std::chrono_literals;
+    const auto read = [](const std::string& given) {
+        settings s = parsed({"--count=" + given});
+        const auto ms = s.milliseconds("--count", 100ms, 60000ms);
+        const auto from_seconds = parsed({"--count=" + given}).seconds("--count", 100ms, 60000ms);
+        return std::tuple(ms, from_seconds, s.errors().size());
+    };
+    EXPECT_EQ(read("250.4"), std::tuple(250ms, 100ms, 0U));
+    EXPECT_EQ(read("2.5"), std::tuple(100ms, 2500ms, 1U));
+    EXPECT_EQ(read("nan"), std::tuple(100ms, 100ms, 1U));
+    EXPECT_EQ(read("6s"), std::tuple(100ms, 100ms, 1U));
+    EXPECT_EQ(read("1e9"), std::tuple(100ms, 100ms, 1U));
+}
+
+// Guards against a default that is taken for the flag which the text of its own flag names.
+TEST(settings, a_default_belongs_to_the_flag_of_its_line)
+{
+    settings s = parsed({});
+    EXPECT_EQ(s.integer("--more", 0, 100), 8);
+    EXPECT_TRUE(s.addresses("--list", false).empty());
+    EXPECT_TRUE(s.errors().empty());
+}
+
 // Guards against a program that starts although a setting has no value.
 TEST(settings, missing_setting_is_an_error)
 {
