Know that a young target holds no flow of a former agent

Cause: after a loss of all power targets start before their agents, and their first announcements fail; an agent that heard number 3 first could not tell that its target held no flow, answered every search with unsure, and got the packet itself. Ruled out: election and tables (leader 1.4 s after the loss, routes at 1.5 to 2.4 s). Change: a target pauses after an announcement that was acknowledged, so one that is younger than three quarters of the pause was not acknowledged before and holds nothing; its agent denies flows that it does not know. A clock that was set back makes the age negative, which proves nothing. Test: segment_agent_test a_target_that_nobody_can_have_acknowledged_holds_no_flow (unsure before).

--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -24,8 +24,9 @@
     /// Port at which callers take packets.
     std::uint16_t caller_port = 0;
     segment_format format;
-    /// A target that has not announced itself for so long takes no new flows.
-    std::chrono::milliseconds announcement_timeout{3000};
+    /// Time between two announcements of the target, after one that was acknowledged. A target that has been
+    /// silent for 2.5 times as long takes no new flows.
+    std::chrono::milliseconds announcement_interval{1200};
     /// Callers discard flows that are older.
     std::chrono::milliseconds max_flow_age{60000};
 };
@@ -35,6 +36,8 @@
     std::string id;
     /// Time of the target's start; an announcement of a former start is late.
     std::int64_t started_ms = 0;
+    /// Time since the target's start, by the clock of its machine; negative if that clock was set back.
+    std::chrono::milliseconds age{std::chrono::hours(1)};
     /// Grows with each announcement of one start.
     std::int64_t sequence = 0;
     std::string service;
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -65,8 +65,10 @@
         busy_ = 0;
         started_ = now - settings_.max_flow_age - age_margin;
     }
-    if (!target_ && a.sequence == 1) {
-        // No flow is admitted before the first announcement, so the target holds none yet.
+    // No flow is admitted before the first announcement that an agent takes. A target that was acknowledged
+    // pauses before the next, so a young one has not been, and holds no flow of a former agent.
+    const bool young = a.age >= milliseconds(0) && a.age < settings_.announcement_interval * 3 / 4;
+    if (!target_ && (a.sequence == 1 || young)) {
         started_ = now - settings_.max_flow_age - age_margin;
     }
     const bool changed = !target_ || target_->draining != a.draining || target_->started_ms != a.started_ms;
@@ -131,7 +133,7 @@
     if (stopping_) {
         return error_code::stopped;
     }
-    if (!target_ || now - announced_ > settings_.announcement_timeout) {
+    if (!target_ || now - announced_ > settings_.announcement_interval * 5 / 2) {
         return error_code::upstream_unreachable;
     }
     if (target_->draining) {
--- a/src/libperidotcleat/connection/segment_agent_test.cpp
+++ b/src/libperidotcleat/connection/segment_agent_test.cpp
@@ -184,6 +184,34 @@
     EXPECT_EQ(outcome(), segment_outcome::absent);
 }
 
+// Guards against a loss of all power after which every lost flow is tried at every target, because the agents
+// start later than their targets and miss the first announcements; and against the denial of a flow that a
+// former agent of the same target admitted.
+TEST_F(segment_agent_test, a_target_that_nobody_can_have_acknowledged_holds_no_flow)
+{
+    const auto outcome = [&](milliseconds age) {
+        segment_agent restarted(settings(), now, counted);
+        target_announcement a;
+        a.id = "i-1";
+        a.service = "live";
+        a.started_ms = 7;
+        a.sequence = 3;
+        a.age = age;
+        EXPECT_TRUE(restarted.on_announcement(now, a, out));
+        out.clear();
+        wire::segment_query q;
+        q.key = to_wire(flow);
+        q.service_key = service_key("live");
+        q.acknowledged = 5001;
+        restarted.on_message(now, balancer, q, out);
+        return static_cast<segment_outcome>(reports().at(0).outcome);
+    };
+    EXPECT_EQ(outcome(milliseconds(0)), segment_outcome::absent);
+    EXPECT_EQ(outcome(milliseconds(899)), segment_outcome::absent);
+    EXPECT_EQ(outcome(milliseconds(900)), segment_outcome::unsure);
+    EXPECT_EQ(outcome(milliseconds(-1)), segment_outcome::unsure);
+}
+
 // Guards against packets at another service after the machine's address has changed hands.
 TEST_F(segment_agent_test, segments_of_another_service_are_not_delivered)
 {
