--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -3,12 +3,14 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "peridotcleat/counters.h"
@@ -47,7 +49,10 @@
     /// Handles one packet of a caller. `table_age` is the age of the routes. Before the first routes a packet
     /// is kept for a short time.
     void on_packet(time_point now, std::string_view packet, std::chrono::milliseconds table_age, outbox& out);
-    /// Handles segment_report and segment_load of agents; ignores other messages.
+    /// Sends the queries that have been collected, one datagram for many flows. Call after each batch of
+    /// events.
+    void send_queries(outbox& out);
+    /// Handles segment_report, segment_answers and segment_load of agents; ignores other messages.
     void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
     /// Ends searches whose outcome is certain and forgets flows that were silent for long. `table_age` is the
     /// age of the routes. Call at least every 100 ms.
@@ -63,7 +68,7 @@
     [[nodiscard]] const std::shared_ptr<const flow_routes>& routes() const noexcept { return routes_; }
 
 private:
-    // Queries that may be sent at once.
+    // Queries that may be sent at once, one for each flow and target.
     static constexpr double query_burst = 1000;
 
     // One target that was asked to take a flow.
@@ -124,14 +129,17 @@
     void on_held(time_point now, const flow_key& key, const endpoint& from, outbox& out);
     void on_declined(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
     void on_absent(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
+    void on_denied(time_point now, flow_map::iterator it, const endpoint& from, outbox& out);
     void place(time_point now, const flow_key& key, flow& f, std::string_view packet, outbox& out);
     void start_search(time_point now, const flow_key& key, std::string_view packet,
-                      std::vector<endpoint> absent, outbox& out);
-    void search_again(time_point now, const flow_key& key, flow& f, std::string_view packet, outbox& out);
-    void ask(const flow_key& key, const flow& f, outbox& out) const;
+                      std::vector<endpoint> absent);
+    void search_again(time_point now, const flow_key& key, flow& f, std::string_view packet);
+    void ask(const flow_key& key, const flow& f);
+    void note_heard(time_point now, const endpoint& from, std::int32_t load_permille);
+    void on_answers(time_point now, const endpoint& from, const wire::segment_answers& answers, outbox& out);
     void on_unsure(const flow_key& key, const endpoint& from, outbox& out);
     void end_search(time_point now, flow_map::iterator it, outbox& out);
-    [[nodiscard]] bool finish_search(const flow_key& key, flow& f, outbox& out);
+    [[nodiscard]] bool finish_search(const flow_key& key, flow& f);
     [[nodiscard]] bool may_ask(time_point now, const flow_route& route);
     void finish_searches(time_point now, outbox& out);
     // Returns true if the cache may not take another flow.
@@ -161,6 +169,8 @@
     double query_budget_;
     time_point budget_renewed_;
     flow_map flows_;
+    // Questions for each agent and service that wait for `send_queries`.
+    std::map<std::pair<endpoint, std::int64_t>, std::vector<wire::segment_question>> questions_;
     // Flows that are searched for; some may have been found or forgotten.
     std::vector<flow_key> searched_;
     std::unordered_map<std::int64_t, target_load> loads_;
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -179,11 +179,19 @@
 void segment_agent::on_query(time_point now, const endpoint& from, const wire::segment_query& q, outbox& out)
 {
     balancers_[route_number(from)] = now;
-    const flow_key key = from_wire(q.key);
-    const auto outcome = q.service_key == service_key_
-                             ? outcome_for(now, key, static_cast<std::uint32_t>(q.acknowledged))
-                             : segment_outcome::absent;
-    out.send(from, report_of(key, outcome));
+    wire::segment_answers answers;
+    answers.load_permille = load_permille();
+    for (const wire::segment_question& asked : q.flows) {
+        const auto outcome =
+            q.service_key == service_key_
+                ? outcome_for(now, from_wire(asked.key), static_cast<std::uint32_t>(asked.acknowledged))
+                : segment_outcome::absent;
+        wire::segment_answer answer;
+        answer.key = asked.key;
+        answer.outcome = static_cast<std::int8_t>(outcome);
+        answers.flows.push_back(answer);
+    }
+    out.send(from, std::move(answers));
 }
 
 void segment_agent::on_forward(time_point now, const endpoint& from, const wire::segment_forward& m,
--- a/src/libperidotcleat/connection/segment_agent_test.cpp
+++ b/src/libperidotcleat/connection/segment_agent_test.cpp
@@ -78,6 +78,22 @@
         agent.on_target_packet(now, fake_packet(s), out);
     }
 
+    // What `asked` answers to a query for the flow.
+    segment_outcome ask(segment_agent& asked, const std::string& service)
+    {
+        wire::segment_question question;
+        question.key = to_wire(flow);
+        question.acknowledged = 5001;
+        wire::segment_query q;
+        q.service_key = service_key(service);
+        q.flows = {question};
+        out.clear();
+        asked.on_message(now, balancer, q, out);
+        const auto answers = std::get<wire::segment_answers>(out.sends.at(0).body);
+        EXPECT_EQ(answers.flows.size(), 1U);
+        return static_cast<segment_outcome>(answers.flows.at(0).outcome);
+    }
+
     std::vector<wire::segment_report> reports()
     {
         std::vector<wire::segment_report> all;
@@ -149,14 +165,7 @@
 // knows.
 TEST_F(segment_agent_test, answers_queries_by_what_is_certain)
 {
-    const auto query = [&](const std::string& service) {
-        wire::segment_query q;
-        q.key = to_wire(flow);
-        q.service_key = service_key(service);
-        q.acknowledged = 5001;
-        agent.on_message(now, balancer, q, out);
-        return static_cast<segment_outcome>(reports().at(0).outcome);
-    };
+    const auto query = [&](const std::string& service) { return ask(agent, service); };
     EXPECT_EQ(query("live"), segment_outcome::unsure);
     EXPECT_EQ(query("chart"), segment_outcome::absent);
     open_flow();
@@ -170,14 +179,7 @@
 TEST_F(segment_agent_test, an_agent_that_has_not_heard_its_target_denies_nothing)
 {
     segment_agent restarted(settings(), now, counted);
-    const auto outcome = [&] {
-        wire::segment_query q;
-        q.key = to_wire(flow);
-        q.service_key = service_key("live");
-        q.acknowledged = 5001;
-        restarted.on_message(now, balancer, q, out);
-        return static_cast<segment_outcome>(reports().at(0).outcome);
-    };
+    const auto outcome = [&] { return ask(restarted, "live"); };
     EXPECT_EQ(outcome(), segment_outcome::unsure);
     restarted.on_target_left(now, out);
     out.clear();
@@ -199,12 +201,7 @@
         a.age = age;
         EXPECT_TRUE(restarted.on_announcement(now, a, out));
         out.clear();
-        wire::segment_query q;
-        q.key = to_wire(flow);
-        q.service_key = service_key("live");
-        q.acknowledged = 5001;
-        restarted.on_message(now, balancer, q, out);
-        return static_cast<segment_outcome>(reports().at(0).outcome);
+        return ask(restarted, "live");
     };
     EXPECT_EQ(outcome(milliseconds(0)), segment_outcome::absent);
     EXPECT_EQ(outcome(milliseconds(899)), segment_outcome::absent);
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -253,7 +253,7 @@
 {
     const auto it = flows_.find(s.key);
     if (it == flows_.end()) {
-        start_search(now, s.key, packet, {}, out);
+        start_search(now, s.key, packet, {});
         return;
     }
     flow& f = it->second;
@@ -277,27 +277,35 @@
         // The report of the offer is late or lost; the agent knows whether the flow is its own.
         forward(f.placements.back().agent, f.service, segment_purpose::held, packet, out);
     } else if (f.searching) {
-        search_again(now, s.key, f, packet, out);
+        search_again(now, s.key, f, packet);
     } else {
-        start_search(now, s.key, packet, {}, out);
+        start_search(now, s.key, packet, {});
     }
 }
 
 void segment_balancer::on_message(time_point now, const endpoint& from, const message& m, outbox& out)
 {
     if (const auto* report = std::get_if<wire::segment_report>(&m)) {
-        target_load& l = loads_[number(from)];
-        l.unanswered_since.reset();
-        l.reported_permille = report->load_permille;
-        l.reported = now;
-        l.placed_since = 0;
+        note_heard(now, from, report->load_permille);
         on_report(now, from, *report, out);
+    } else if (const auto* answers = std::get_if<wire::segment_answers>(&m)) {
+        note_heard(now, from, answers->load_permille);
+        on_answers(now, from, *answers, out);
     } else if (const auto* load = std::get_if<wire::segment_load>(&m)) {
         target_load& l = loads_[number(from)];
         l = {load->load_permille, 0, now, load->accepting, std::nullopt, l.known_lost};
     }
 }
 
+void segment_balancer::note_heard(time_point now, const endpoint& from, std::int32_t load_permille)
+{
+    target_load& l = loads_[number(from)];
+    l.unanswered_since.reset();
+    l.reported_permille = load_permille;
+    l.reported = now;
+    l.placed_since = 0;
+}
+
 void segment_balancer::on_report(time_point now, const endpoint& from, const wire::segment_report& report,
                                  outbox& out)
 {
@@ -308,7 +316,6 @@
         break;
     case segment_outcome::held: on_held(now, from_wire(report.key), from, out); break;
     case segment_outcome::declined: on_declined(now, from, report, out); break;
-    case segment_outcome::unsure: on_unsure(from_wire(report.key), from, out); break;
     case segment_outcome::absent: on_absent(now, from, report, out); break;
     default: counted_->refuse(error_code::message_malformed);
     }
@@ -395,12 +402,7 @@
     }
     flow& f = it->second;
     if (f.searching) {
-        if (!contains(f.searching->absent, from)) {
-            f.searching->absent.push_back(from);
-        }
-        if (finish_search(key, f, out)) {
-            end_search(now, it, out);
-        }
+        on_denied(now, it, from, out);
         return;
     }
     const bool meanwhile_found = f.holder && *f.holder != from;
@@ -421,7 +423,7 @@
         }
     }
     const std::string packet = report.packet;
-    start_search(now, key, packet, {from}, out);
+    start_search(now, key, packet, {from});
 }
 
 void segment_balancer::forward(const endpoint& agent, std::int64_t service, segment_purpose purpose,
--- a/src/libperidotcleat/connection/segment_balancer_test.cpp
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -85,6 +85,18 @@
         balancer.on_packet(now, fake_packet(s, "data"), age, out);
     }
 
+    // An agent's answer to a query.
+    void answer(const endpoint& from, std::uint16_t port, segment_outcome outcome)
+    {
+        wire::segment_answer one;
+        one.key = to_wire(from_caller(port).key);
+        one.outcome = static_cast<std::int8_t>(outcome);
+        wire::segment_answers all;
+        all.load_permille = 0;
+        all.flows = {one};
+        balancer.on_message(now, from, all, out);
+    }
+
     void report(const endpoint& from, std::uint16_t port, segment_outcome outcome, std::int32_t sequence = 0,
                 error_code reason = error_code::ok, const std::string& packet = {})
     {
@@ -120,10 +132,11 @@
     // Which agents were asked whether they hold a flow since the last call.
     std::vector<endpoint> queried()
     {
+        balancer.send_queries(out);
         std::vector<endpoint> to;
         for (const send_action& s : out.sends) {
-            if (std::holds_alternative<wire::segment_query>(s.body)) {
-                to.push_back(s.to);
+            if (const auto* query = std::get_if<wire::segment_query>(&s.body)) {
+                to.insert(to.end(), query->flows.size(), s.to);
             }
         }
         out.clear();
@@ -181,11 +194,11 @@
     now += milliseconds(400);
     balancer.set_routes(routes);
     balancer.release_early_packets(now, age, out);
-    EXPECT_EQ(std::ranges::count_if(
-                  out.sends,
-                  [](const send_action& s) { return std::holds_alternative<wire::segment_query>(s.body); }),
-              2);
-    EXPECT_EQ(sent(segment_purpose::place), targets{agent_a});
+    const auto placed = std::ranges::count_if(out.sends, [](const send_action& s) {
+        return std::holds_alternative<wire::segment_forward>(s.body);
+    });
+    EXPECT_EQ(placed, 1);
+    EXPECT_EQ(queried(), (targets{agent_a, agent_b}));
     EXPECT_EQ(counted.refusals(error_code::no_table), 2U);
 }
 
@@ -242,7 +255,7 @@
     EXPECT_EQ(queried().size(), 2U);
     send(1, 77);
     EXPECT_TRUE(out.sends.empty());
-    report(agent_b, 1, segment_outcome::held);
+    answer(agent_b, 1, segment_outcome::held);
     EXPECT_EQ(sent(segment_purpose::held), (targets{agent_b, agent_b}));
     send(1, 78);
     EXPECT_EQ(sent(segment_purpose::held), targets{agent_b});
@@ -256,10 +269,10 @@
     join(agent_b, "zone-b", "live");
     send(1, 77);
     EXPECT_TRUE(sent(segment_purpose::search).empty());
-    report(agent_a, 1, segment_outcome::absent);
-    report(agent_b, 1, segment_outcome::unsure);
+    answer(agent_a, 1, segment_outcome::absent);
+    answer(agent_b, 1, segment_outcome::unsure);
     EXPECT_EQ(sent(segment_purpose::search), targets{agent_b});
-    report(agent_b, 1, segment_outcome::held);
+    answer(agent_b, 1, segment_outcome::held);
     EXPECT_TRUE(sent(segment_purpose::held).empty());
 }
 
@@ -287,15 +300,15 @@
     join(agent_a, "zone-a", "live");
     join(agent_b, "zone-b", "live");
     send(1, 77);
-    report(agent_a, 1, segment_outcome::absent);
+    answer(agent_a, 1, segment_outcome::absent);
     now += std::chrono::seconds(1);
     balancer.on_table_confirmed(now, now, out);
     balancer.on_tick(now, milliseconds(0), out);
     EXPECT_EQ(resets(), 0U);
     now += milliseconds(1);
     send(2, 77);
-    report(agent_a, 2, segment_outcome::absent);
-    report(agent_b, 2, segment_outcome::absent);
+    answer(agent_a, 2, segment_outcome::absent);
+    answer(agent_b, 2, segment_outcome::absent);
     EXPECT_TRUE(balancer.wants_confirmation());
     now += std::chrono::seconds(1);
     balancer.on_tick(now, milliseconds(0), out);
@@ -312,24 +325,40 @@
     send(1, 77);
     balancer.on_table_confirmed(now, now, out);
     EXPECT_EQ(resets(), 0U);
-    report(agent_a, 1, segment_outcome::absent);
+    answer(agent_a, 1, segment_outcome::absent);
     EXPECT_EQ(resets(), 1U);
 }
 
+// Guards against a datagram for each flow and target after a loss of all power, when every flow is searched
+// for.
+TEST_F(segment_balancer_test, searches_share_datagrams)
+{
+    join(agent_a, "zone-a", "live");
+    for (std::uint16_t port = 1; port <= 60; ++port) {
+        send(port, 77);
+    }
+    balancer.send_queries(out);
+    EXPECT_LE(out.sends.size(), 2U);
+    for (const send_action& s : out.sends) {
+        EXPECT_LE(encode(cluster_id{1}, s.body).size(), max_control_body + 40);
+    }
+    EXPECT_EQ(queried().size(), 60U);
+}
+
 // Guards against a reset of a flow at a target that joined so lately that this balancer has not heard of it,
 // although another one has placed flows there.
 TEST_F(segment_balancer_test, a_target_that_joined_meanwhile_is_asked_before_a_reset)
 {
     join(agent_a, "zone-a", "live");
     send(1, 77);
-    report(agent_a, 1, segment_outcome::absent);
+    answer(agent_a, 1, segment_outcome::absent);
     EXPECT_EQ(resets(), 0U);
     join(agent_b, "zone-b", "live");
-    out.clear();
+    (void)queried();
     now += milliseconds(600);
     balancer.on_table_confirmed(now, now - milliseconds(50), out);
     EXPECT_EQ(queried(), targets{agent_b});
-    report(agent_b, 1, segment_outcome::held);
+    answer(agent_b, 1, segment_outcome::held);
     now += milliseconds(600);
     balancer.on_table_confirmed(now, now - milliseconds(50), out);
     EXPECT_EQ(resets(), 0U);
@@ -344,11 +373,11 @@
     replace(2, "chart");
     send(1, 77);
     EXPECT_EQ(queried().size(), 2U);
-    report(agent_c, 1, segment_outcome::absent);
+    answer(agent_c, 1, segment_outcome::absent);
     now += std::chrono::seconds(1);
     balancer.on_tick(now, milliseconds(0), out);
     EXPECT_EQ(resets(), 0U);
-    report(agent_a, 1, segment_outcome::held);
+    answer(agent_a, 1, segment_outcome::held);
     out.clear();
     send(1, 78);
     EXPECT_EQ(sent(segment_purpose::held), targets{agent_a});
--- a/src/libperidotcleat/connection/segment_search.cpp
+++ b/src/libperidotcleat/connection/segment_search.cpp
@@ -14,17 +14,19 @@
 constexpr milliseconds search_timeout{150};
 // A search without an outcome by then is given up until the caller speaks again.
 constexpr milliseconds search_memory{5000};
-// Queries a second and at once. A query and its answer take some 25 us of processor time and 160 bytes; after
-// the loss of many nodes all flows are unknown, and without a limit the searches would starve the flows that
-// callers open anew.
+// Queries a second, one for each flow and target, of some 85 bytes each if no two share a datagram: a third
+// of a link of 5 Mbit/s. After the loss of many nodes all flows are unknown, and without a limit the searches
+// would starve the flows that callers open anew.
 constexpr double queries_per_second = 2000;
+// Flows in one datagram: a question takes up to 36 bytes.
+constexpr std::size_t max_questions = max_control_body / 40;
 // The most packets a sender has in flight.
 constexpr std::size_t max_waiting = 16;
 
 }  // namespace
 
 void segment_balancer::start_search(time_point now, const flow_key& key, std::string_view packet,
-                                    std::vector<endpoint> absent, outbox& out)
+                                    std::vector<endpoint> absent)
 {
     const flow_route* route = routes_->find(key.destination);
     if (route == nullptr || is_full_for(key)) {
@@ -46,7 +48,7 @@
     f.searching->asked_at = now;
     f.searching->absent = std::move(absent);
     f.searching->waiting.emplace_back(packet);
-    ask(key, f, out);
+    ask(key, f);
     searched_.push_back(key);
     counted_->add(event::flows_redirected);
     log_event(log_level::info, "flow_searched",
@@ -72,8 +74,7 @@
 }
 
 // Takes a further packet of a flow that is searched for. Targets that were silent are asked again.
-void segment_balancer::search_again(time_point now, const flow_key& key, flow& f, std::string_view packet,
-                                    outbox& out)
+void segment_balancer::search_again(time_point now, const flow_key& key, flow& f, std::string_view packet)
 {
     search& s = *f.searching;
     if (now - s.asked_at < search_timeout) {
@@ -91,34 +92,78 @@
     s.asked = s.absent;
     s.probed.clear();
     s.waiting.assign(1, std::string(packet));
-    ask(key, f, out);
+    ask(key, f);
 }
 
 // Asks all targets that may hold the flow and were not asked yet.
-void segment_balancer::ask(const flow_key& key, const flow& f, outbox& out) const
+void segment_balancer::ask(const flow_key& key, const flow& f)
 {
     const flow_route* route = routes_->find(key.destination);
     if (route == nullptr) {
         return;
     }
     search& s = *f.searching;
-    wire::segment_query query;
-    query.key = to_wire(key);
-    query.acknowledged = static_cast<std::int32_t>(f.acknowledged);
+    wire::segment_question question;
+    question.key = to_wire(key);
+    question.acknowledged = static_cast<std::int32_t>(f.acknowledged);
     for (const flow_service* service : route->holders()) {
-        query.service_key = service->key;
         for (const flow_target& t : service->targets) {
             if (contains(s.asked, t.agent)) {
                 continue;
             }
             s.asked.push_back(t.agent);
             if (!contains(s.absent, t.agent)) {
-                out.send(t.agent, query);
+                questions_[{t.agent, service->key}].push_back(question);
             }
         }
     }
 }
 
+void segment_balancer::send_queries(outbox& out)
+{
+    for (auto& [to, questions] : questions_) {
+        for (std::size_t begin = 0; begin < questions.size(); begin += max_questions) {
+            const auto first = questions.begin() + static_cast<std::ptrdiff_t>(begin);
+            const std::size_t count = std::min(max_questions, questions.size() - begin);
+            wire::segment_query query;
+            query.service_key = to.second;
+            query.flows.assign(first, first + static_cast<std::ptrdiff_t>(count));
+            out.send(to.first, std::move(query));
+        }
+    }
+    questions_.clear();
+}
+
+void segment_balancer::on_answers(time_point now, const endpoint& from, const wire::segment_answers& answers,
+                                  outbox& out)
+{
+    for (const wire::segment_answer& answer : answers.flows) {
+        const flow_key key = from_wire(answer.key);
+        const auto it = flows_.find(key);
+        if (it == flows_.end() || !it->second.searching) {
+            continue;
+        }
+        switch (static_cast<segment_outcome>(answer.outcome)) {
+        case segment_outcome::held: on_held(now, key, from, out); break;
+        case segment_outcome::absent: on_denied(now, it, from, out); break;
+        case segment_outcome::unsure: on_unsure(key, from, out); break;
+        default: counted_->refuse(error_code::message_malformed);
+        }
+    }
+}
+
+// An agent has said that it does not hold a flow that is searched for.
+void segment_balancer::on_denied(time_point now, flow_map::iterator it, const endpoint& from, outbox& out)
+{
+    search& s = *it->second.searching;
+    if (!contains(s.absent, from)) {
+        s.absent.push_back(from);
+    }
+    if (finish_search(it->first, it->second)) {
+        end_search(now, it, out);
+    }
+}
+
 // The agent has restarted and its target may hold the flow: a segment shows.
 void segment_balancer::on_unsure(const flow_key& key, const endpoint& from, outbox& out)
 {
@@ -143,15 +188,16 @@
 // Returns true if nobody holds the flow. That is certain only if every target of a table that was confirmed
 // after the search began has said so: another balancer may have placed the flow on a target that had just
 // joined. The age that a member of control gives is no proof, because a message to it may have been delayed.
-bool segment_balancer::finish_search(const flow_key& key, flow& f, outbox& out)
+bool segment_balancer::finish_search(const flow_key& key, flow& f)
 {
     if (!confirmed_as_of_ || *confirmed_as_of_ < f.searching->started) {
         return false;
     }
-    ask(key, f, out);
-    return !f.searching->asked.empty() && std::ranges::all_of(f.searching->asked, [&](const endpoint& e) {
-        return contains(f.searching->absent, e);
-    });
+    ask(key, f);
+    const search& s = *f.searching;
+    // The second test is cheap and fails until the last one answers.
+    return !s.asked.empty() && s.absent.size() >= s.asked.size() &&
+           std::ranges::all_of(s.asked, [&](const endpoint& e) { return contains(s.absent, e); });
 }
 
 // Nobody holds the flow.
@@ -187,7 +233,7 @@
             now - it->second.searching->started > search_memory) {
             return true;
         }
-        if (!finish_search(key, it->second, out)) {
+        if (!finish_search(key, it->second)) {
             return false;
         }
         end_search(now, it, out);
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -2732,63 +2732,206 @@
 }
 
 
-segment_query::~segment_query() noexcept {
+segment_question::~segment_question() noexcept {
 }
 
 
-void segment_query::__set_key(const flow_key& val) {
+void segment_question::__set_key(const flow_key& val) {
   this->key = val;
 }
 
-void segment_query::__set_service_key(const int64_t val) {
-  this->service_key = val;
-}
-
-void segment_query::__set_acknowledged(const int32_t val) {
+void segment_question::__set_acknowledged(const int32_t val) {
   this->acknowledged = val;
 }
-std::ostream& operator<<(std::ostream& out, const segment_query& obj)
+std::ostream& operator<<(std::ostream& out, const segment_question& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-void swap(segment_query &a, segment_query &b) {
+void swap(segment_question &a, segment_question &b) {
   using ::std::swap;
   swap(a.key, b.key);
-  swap(a.service_key, b.service_key);
   swap(a.acknowledged, b.acknowledged);
 }
 
-segment_query::segment_query(const segment_query& other236) noexcept {
+segment_question::segment_question(const segment_question& other236) noexcept {
   key = other236.key;
-  service_key = other236.service_key;
   acknowledged = other236.acknowledged;
 }
-segment_query::segment_query(segment_query&& other237) noexcept {
+segment_question::segment_question(segment_question&& other237) noexcept {
   key = std::move(other237.key);
-  service_key = other237.service_key;
   acknowledged = other237.acknowledged;
 }
-segment_query& segment_query::operator=(const segment_query& other238) noexcept {
+segment_question& segment_question::operator=(const segment_question& other238) noexcept {
   key = other238.key;
-  service_key = other238.service_key;
   acknowledged = other238.acknowledged;
   return *this;
 }
-segment_query& segment_query::operator=(segment_query&& other239) noexcept {
+segment_question& segment_question::operator=(segment_question&& other239) noexcept {
   key = std::move(other239.key);
-  service_key = other239.service_key;
   acknowledged = other239.acknowledged;
   return *this;
 }
+void segment_question::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "segment_question(";
+  out << "key=" << to_string(key);
+  out << ", " << "acknowledged=" << to_string(acknowledged);
+  out << ")";
+}
+
+
+segment_query::~segment_query() noexcept {
+}
+
+
+void segment_query::__set_service_key(const int64_t val) {
+  this->service_key = val;
+}
+
+void segment_query::__set_flows(const std::vector<segment_question> & val) {
+  this->flows = val;
+}
+std::ostream& operator<<(std::ostream& out, const segment_query& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(segment_query &a, segment_query &b) {
+  using ::std::swap;
+  swap(a.service_key, b.service_key);
+  swap(a.flows, b.flows);
+}
+
+segment_query::segment_query(const segment_query& other246) {
+  service_key = other246.service_key;
+  flows = other246.flows;
+}
+segment_query::segment_query(segment_query&& other247) noexcept {
+  service_key = other247.service_key;
+  flows = std::move(other247.flows);
+}
+segment_query& segment_query::operator=(const segment_query& other248) {
+  service_key = other248.service_key;
+  flows = other248.flows;
+  return *this;
+}
+segment_query& segment_query::operator=(segment_query&& other249) noexcept {
+  service_key = other249.service_key;
+  flows = std::move(other249.flows);
+  return *this;
+}
 void segment_query::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "segment_query(";
+  out << "service_key=" << to_string(service_key);
+  out << ", " << "flows=" << to_string(flows);
+  out << ")";
+}
+
+
+segment_answer::~segment_answer() noexcept {
+}
+
+
+void segment_answer::__set_key(const flow_key& val) {
+  this->key = val;
+}
+
+void segment_answer::__set_outcome(const int8_t val) {
+  this->outcome = val;
+}
+std::ostream& operator<<(std::ostream& out, const segment_answer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(segment_answer &a, segment_answer &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.outcome, b.outcome);
+}
+
+segment_answer::segment_answer(const segment_answer& other250) noexcept {
+  key = other250.key;
+  outcome = other250.outcome;
+}
+segment_answer::segment_answer(segment_answer&& other251) noexcept {
+  key = std::move(other251.key);
+  outcome = other251.outcome;
+}
+segment_answer& segment_answer::operator=(const segment_answer& other252) noexcept {
+  key = other252.key;
+  outcome = other252.outcome;
+  return *this;
+}
+segment_answer& segment_answer::operator=(segment_answer&& other253) noexcept {
+  key = std::move(other253.key);
+  outcome = other253.outcome;
+  return *this;
+}
+void segment_answer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "segment_answer(";
   out << "key=" << to_string(key);
-  out << ", " << "service_key=" << to_string(service_key);
-  out << ", " << "acknowledged=" << to_string(acknowledged);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ")";
+}
+
+
+segment_answers::~segment_answers() noexcept {
+}
+
+
+void segment_answers::__set_load_permille(const int32_t val) {
+  this->load_permille = val;
+}
+
+void segment_answers::__set_flows(const std::vector<segment_answer> & val) {
+  this->flows = val;
+}
+std::ostream& operator<<(std::ostream& out, const segment_answers& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(segment_answers &a, segment_answers &b) {
+  using ::std::swap;
+  swap(a.load_permille, b.load_permille);
+  swap(a.flows, b.flows);
+}
+
+segment_answers::segment_answers(const segment_answers& other260) {
+  load_permille = other260.load_permille;
+  flows = other260.flows;
+}
+segment_answers::segment_answers(segment_answers&& other261) noexcept {
+  load_permille = other261.load_permille;
+  flows = std::move(other261.flows);
+}
+segment_answers& segment_answers::operator=(const segment_answers& other262) {
+  load_permille = other262.load_permille;
+  flows = other262.flows;
+  return *this;
+}
+segment_answers& segment_answers::operator=(segment_answers&& other263) noexcept {
+  load_permille = other263.load_permille;
+  flows = std::move(other263.flows);
+  return *this;
+}
+void segment_answers::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "segment_answers(";
+  out << "load_permille=" << to_string(load_permille);
+  out << ", " << "flows=" << to_string(flows);
   out << ")";
 }
 
@@ -2846,46 +2989,46 @@
   swap(a.__isset, b.__isset);
 }
 
-segment_report::segment_report(const segment_report& other240) {
-  key = other240.key;
-  service_key = other240.service_key;
-  outcome = other240.outcome;
-  load_permille = other240.load_permille;
-  sequence = other240.sequence;
-  reason = other240.reason;
-  packet = other240.packet;
-  __isset = other240.__isset;
-}
-segment_report::segment_report(segment_report&& other241) noexcept {
-  key = std::move(other241.key);
-  service_key = other241.service_key;
-  outcome = other241.outcome;
-  load_permille = other241.load_permille;
-  sequence = other241.sequence;
-  reason = other241.reason;
-  packet = std::move(other241.packet);
-  __isset = other241.__isset;
-}
-segment_report& segment_report::operator=(const segment_report& other242) {
-  key = other242.key;
-  service_key = other242.service_key;
-  outcome = other242.outcome;
-  load_permille = other242.load_permille;
-  sequence = other242.sequence;
-  reason = other242.reason;
-  packet = other242.packet;
-  __isset = other242.__isset;
-  return *this;
-}
-segment_report& segment_report::operator=(segment_report&& other243) noexcept {
-  key = std::move(other243.key);
-  service_key = other243.service_key;
-  outcome = other243.outcome;
-  load_permille = other243.load_permille;
-  sequence = other243.sequence;
-  reason = other243.reason;
-  packet = std::move(other243.packet);
-  __isset = other243.__isset;
+segment_report::segment_report(const segment_report& other264) {
+  key = other264.key;
+  service_key = other264.service_key;
+  outcome = other264.outcome;
+  load_permille = other264.load_permille;
+  sequence = other264.sequence;
+  reason = other264.reason;
+  packet = other264.packet;
+  __isset = other264.__isset;
+}
+segment_report::segment_report(segment_report&& other265) noexcept {
+  key = std::move(other265.key);
+  service_key = other265.service_key;
+  outcome = other265.outcome;
+  load_permille = other265.load_permille;
+  sequence = other265.sequence;
+  reason = other265.reason;
+  packet = std::move(other265.packet);
+  __isset = other265.__isset;
+}
+segment_report& segment_report::operator=(const segment_report& other266) {
+  key = other266.key;
+  service_key = other266.service_key;
+  outcome = other266.outcome;
+  load_permille = other266.load_permille;
+  sequence = other266.sequence;
+  reason = other266.reason;
+  packet = other266.packet;
+  __isset = other266.__isset;
+  return *this;
+}
+segment_report& segment_report::operator=(segment_report&& other267) noexcept {
+  key = std::move(other267.key);
+  service_key = other267.service_key;
+  outcome = other267.outcome;
+  load_permille = other267.load_permille;
+  sequence = other267.sequence;
+  reason = other267.reason;
+  packet = std::move(other267.packet);
+  __isset = other267.__isset;
   return *this;
 }
 void segment_report::printTo(std::ostream& out) const {
@@ -2931,26 +3074,26 @@
   swap(a.accepting, b.accepting);
 }
 
-segment_load::segment_load(const segment_load& other244) noexcept {
-  service_key = other244.service_key;
-  load_permille = other244.load_permille;
-  accepting = other244.accepting;
+segment_load::segment_load(const segment_load& other268) noexcept {
+  service_key = other268.service_key;
+  load_permille = other268.load_permille;
+  accepting = other268.accepting;
 }
-segment_load::segment_load(segment_load&& other245) noexcept {
-  service_key = other245.service_key;
-  load_permille = other245.load_permille;
-  accepting = other245.accepting;
+segment_load::segment_load(segment_load&& other269) noexcept {
+  service_key = other269.service_key;
+  load_permille = other269.load_permille;
+  accepting = other269.accepting;
 }
-segment_load& segment_load::operator=(const segment_load& other246) noexcept {
-  service_key = other246.service_key;
-  load_permille = other246.load_permille;
-  accepting = other246.accepting;
+segment_load& segment_load::operator=(const segment_load& other270) noexcept {
+  service_key = other270.service_key;
+  load_permille = other270.load_permille;
+  accepting = other270.accepting;
   return *this;
 }
-segment_load& segment_load::operator=(segment_load&& other247) noexcept {
-  service_key = other247.service_key;
-  load_permille = other247.load_permille;
-  accepting = other247.accepting;
+segment_load& segment_load::operator=(segment_load&& other271) noexcept {
+  service_key = other271.service_key;
+  load_permille = other271.load_permille;
+  accepting = other271.accepting;
   return *this;
 }
 void segment_load::printTo(std::ostream& out) const {
@@ -3002,34 +3145,34 @@
   swap(a.last_term, b.last_term);
 }
 
-vote_request::vote_request(const vote_request& other248) noexcept {
-  pre_vote = other248.pre_vote;
-  term = other248.term;
-  candidate = other248.candidate;
-  last_index = other248.last_index;
-  last_term = other248.last_term;
+vote_request::vote_request(const vote_request& other272) noexcept {
+  pre_vote = other272.pre_vote;
+  term = other272.term;
+  candidate = other272.candidate;
+  last_index = other272.last_index;
+  last_term = other272.last_term;
 }
-vote_request::vote_request(vote_request&& other249) noexcept {
-  pre_vote = other249.pre_vote;
-  term = other249.term;
-  candidate = other249.candidate;
-  last_index = other249.last_index;
-  last_term = other249.last_term;
+vote_request::vote_request(vote_request&& other273) noexcept {
+  pre_vote = other273.pre_vote;
+  term = other273.term;
+  candidate = other273.candidate;
+  last_index = other273.last_index;
+  last_term = other273.last_term;
 }
-vote_request& vote_request::operator=(const vote_request& other250) noexcept {
-  pre_vote = other250.pre_vote;
-  term = other250.term;
-  candidate = other250.candidate;
-  last_index = other250.last_index;
-  last_term = other250.last_term;
+vote_request& vote_request::operator=(const vote_request& other274) noexcept {
+  pre_vote = other274.pre_vote;
+  term = other274.term;
+  candidate = other274.candidate;
+  last_index = other274.last_index;
+  last_term = other274.last_term;
   return *this;
 }
-vote_request& vote_request::operator=(vote_request&& other251) noexcept {
-  pre_vote = other251.pre_vote;
-  term = other251.term;
-  candidate = other251.candidate;
-  last_index = other251.last_index;
-  last_term = other251.last_term;
+vote_request& vote_request::operator=(vote_request&& other275) noexcept {
+  pre_vote = other275.pre_vote;
+  term = other275.term;
+  candidate = other275.candidate;
+  last_index = other275.last_index;
+  last_term = other275.last_term;
   return *this;
 }
 void vote_request::printTo(std::ostream& out) const {
@@ -3090,42 +3233,42 @@
   swap(a.__isset, b.__isset);
 }
 
-vote_reply::vote_reply(const vote_reply& other252) noexcept {
-  pre_vote = other252.pre_vote;
-  term = other252.term;
-  voter = other252.voter;
-  granted = other252.granted;
-  candidate = other252.candidate;
-  lease_ms = other252.lease_ms;
-  __isset = other252.__isset;
-}
-vote_reply::vote_reply(vote_reply&& other253) noexcept {
-  pre_vote = other253.pre_vote;
-  term = other253.term;
-  voter = other253.voter;
-  granted = other253.granted;
-  candidate = other253.candidate;
-  lease_ms = other253.lease_ms;
-  __isset = other253.__isset;
-}
-vote_reply& vote_reply::operator=(const vote_reply& other254) noexcept {
-  pre_vote = other254.pre_vote;
-  term = other254.term;
-  voter = other254.voter;
-  granted = other254.granted;
-  candidate = other254.candidate;
-  lease_ms = other254.lease_ms;
-  __isset = other254.__isset;
-  return *this;
-}
-vote_reply& vote_reply::operator=(vote_reply&& other255) noexcept {
-  pre_vote = other255.pre_vote;
-  term = other255.term;
-  voter = other255.voter;
-  granted = other255.granted;
-  candidate = other255.candidate;
-  lease_ms = other255.lease_ms;
-  __isset = other255.__isset;
+vote_reply::vote_reply(const vote_reply& other276) noexcept {
+  pre_vote = other276.pre_vote;
+  term = other276.term;
+  voter = other276.voter;
+  granted = other276.granted;
+  candidate = other276.candidate;
+  lease_ms = other276.lease_ms;
+  __isset = other276.__isset;
+}
+vote_reply::vote_reply(vote_reply&& other277) noexcept {
+  pre_vote = other277.pre_vote;
+  term = other277.term;
+  voter = other277.voter;
+  granted = other277.granted;
+  candidate = other277.candidate;
+  lease_ms = other277.lease_ms;
+  __isset = other277.__isset;
+}
+vote_reply& vote_reply::operator=(const vote_reply& other278) noexcept {
+  pre_vote = other278.pre_vote;
+  term = other278.term;
+  voter = other278.voter;
+  granted = other278.granted;
+  candidate = other278.candidate;
+  lease_ms = other278.lease_ms;
+  __isset = other278.__isset;
+  return *this;
+}
+vote_reply& vote_reply::operator=(vote_reply&& other279) noexcept {
+  pre_vote = other279.pre_vote;
+  term = other279.term;
+  voter = other279.voter;
+  granted = other279.granted;
+  candidate = other279.candidate;
+  lease_ms = other279.lease_ms;
+  __isset = other279.__isset;
   return *this;
 }
 void vote_reply::printTo(std::ostream& out) const {
@@ -3195,46 +3338,46 @@
   swap(a.quorum_age_ms, b.quorum_age_ms);
 }
 
-append_request::append_request(const append_request& other262) {
-  term = other262.term;
-  leader = other262.leader;
-  previous_index = other262.previous_index;
-  previous_term = other262.previous_term;
-  commit = other262.commit;
-  round = other262.round;
-  entries = other262.entries;
-  quorum_age_ms = other262.quorum_age_ms;
-}
-append_request::append_request(append_request&& other263) noexcept {
-  term = other263.term;
-  leader = other263.leader;
-  previous_index = other263.previous_index;
-  previous_term = other263.previous_term;
-  commit = other263.commit;
-  round = other263.round;
-  entries = std::move(other263.entries);
-  quorum_age_ms = other263.quorum_age_ms;
-}
-append_request& append_request::operator=(const append_request& other264) {
-  term = other264.term;
-  leader = other264.leader;
-  previous_index = other264.previous_index;
-  previous_term = other264.previous_term;
-  commit = other264.commit;
-  round = other264.round;
-  entries = other264.entries;
-  quorum_age_ms = other264.quorum_age_ms;
-  return *this;
-}
-append_request& append_request::operator=(append_request&& other265) noexcept {
-  term = other265.term;
-  leader = other265.leader;
-  previous_index = other265.previous_index;
-  previous_term = other265.previous_term;
-  commit = other265.commit;
-  round = other265.round;
-  entries = std::move(other265.entries);
-  quorum_age_ms = other265.quorum_age_ms;
+append_request::append_request(const append_request& other286) {
+  term = other286.term;
+  leader = other286.leader;
+  previous_index = other286.previous_index;
+  previous_term = other286.previous_term;
+  commit = other286.commit;
+  round = other286.round;
+  entries = other286.entries;
+  quorum_age_ms = other286.quorum_age_ms;
+}
+append_request::append_request(append_request&& other287) noexcept {
+  term = other287.term;
+  leader = other287.leader;
+  previous_index = other287.previous_index;
+  previous_term = other287.previous_term;
+  commit = other287.commit;
+  round = other287.round;
+  entries = std::move(other287.entries);
+  quorum_age_ms = other287.quorum_age_ms;
+}
+append_request& append_request::operator=(const append_request& other288) {
+  term = other288.term;
+  leader = other288.leader;
+  previous_index = other288.previous_index;
+  previous_term = other288.previous_term;
+  commit = other288.commit;
+  round = other288.round;
+  entries = other288.entries;
+  quorum_age_ms = other288.quorum_age_ms;
+  return *this;
+}
+append_request& append_request::operator=(append_request&& other289) noexcept {
+  term = other289.term;
+  leader = other289.leader;
+  previous_index = other289.previous_index;
+  previous_term = other289.previous_term;
+  commit = other289.commit;
+  round = other289.round;
+  entries = std::move(other289.entries);
+  quorum_age_ms = other289.quorum_age_ms;
   return *this;
 }
 void append_request::printTo(std::ostream& out) const {
@@ -3291,34 +3434,34 @@
   swap(a.round, b.round);
 }
 
-append_reply::append_reply(const append_reply& other266) noexcept {
-  term = other266.term;
-  follower = other266.follower;
-  success = other266.success;
-  match = other266.match;
-  round = other266.round;
+append_reply::append_reply(const append_reply& other290) noexcept {
+  term = other290.term;
+  follower = other290.follower;
+  success = other290.success;
+  match = other290.match;
+  round = other290.round;
 }
-append_reply::append_reply(append_reply&& other267) noexcept {
-  term = other267.term;
-  follower = other267.follower;
-  success = other267.success;
-  match = other267.match;
-  round = other267.round;
+append_reply::append_reply(append_reply&& other291) noexcept {
+  term = other291.term;
+  follower = other291.follower;
+  success = other291.success;
+  match = other291.match;
+  round = other291.round;
 }
-append_reply& append_reply::operator=(const append_reply& other268) noexcept {
-  term = other268.term;
-  follower = other268.follower;
-  success = other268.success;
-  match = other268.match;
-  round = other268.round;
+append_reply& append_reply::operator=(const append_reply& other292) noexcept {
+  term = other292.term;
+  follower = other292.follower;
+  success = other292.success;
+  match = other292.match;
+  round = other292.round;
   return *this;
 }
-append_reply& append_reply::operator=(append_reply&& other269) noexcept {
-  term = other269.term;
-  follower = other269.follower;
-  success = other269.success;
-  match = other269.match;
-  round = other269.round;
+append_reply& append_reply::operator=(append_reply&& other293) noexcept {
+  term = other293.term;
+  follower = other293.follower;
+  success = other293.success;
+  match = other293.match;
+  round = other293.round;
   return *this;
 }
 void append_reply::printTo(std::ostream& out) const {
@@ -3392,50 +3535,50 @@
   swap(a.members, b.members);
 }
 
-snapshot_chunk::snapshot_chunk(const snapshot_chunk& other270) {
-  term = other270.term;
-  leader = other270.leader;
-  last_index = other270.last_index;
-  last_term = other270.last_term;
-  offset = other270.offset;
-  total = other270.total;
-  data = other270.data;
-  round = other270.round;
-  members = other270.members;
-}
-snapshot_chunk::snapshot_chunk(snapshot_chunk&& other271) noexcept {
-  term = other271.term;
-  leader = other271.leader;
-  last_index = other271.last_index;
-  last_term = other271.last_term;
-  offset = other271.offset;
-  total = other271.total;
-  data = std::move(other271.data);
-  round = other271.round;
-  members = std::move(other271.members);
-}
-snapshot_chunk& snapshot_chunk::operator=(const snapshot_chunk& other272) {
-  term = other272.term;
-  leader = other272.leader;
-  last_index = other272.last_index;
-  last_term = other272.last_term;
-  offset = other272.offset;
-  total = other272.total;
-  data = other272.data;
-  round = other272.round;
-  members = other272.members;
-  return *this;
-}
-snapshot_chunk& snapshot_chunk::operator=(snapshot_chunk&& other273) noexcept {
-  term = other273.term;
-  leader = other273.leader;
-  last_index = other273.last_index;
-  last_term = other273.last_term;
-  offset = other273.offset;
-  total = other273.total;
-  data = std::move(other273.data);
-  round = other273.round;
-  members = std::move(other273.members);
+snapshot_chunk::snapshot_chunk(const snapshot_chunk& other294) {
+  term = other294.term;
+  leader = other294.leader;
+  last_index = other294.last_index;
+  last_term = other294.last_term;
+  offset = other294.offset;
+  total = other294.total;
+  data = other294.data;
+  round = other294.round;
+  members = other294.members;
+}
+snapshot_chunk::snapshot_chunk(snapshot_chunk&& other295) noexcept {
+  term = other295.term;
+  leader = other295.leader;
+  last_index = other295.last_index;
+  last_term = other295.last_term;
+  offset = other295.offset;
+  total = other295.total;
+  data = std::move(other295.data);
+  round = other295.round;
+  members = std::move(other295.members);
+}
+snapshot_chunk& snapshot_chunk::operator=(const snapshot_chunk& other296) {
+  term = other296.term;
+  leader = other296.leader;
+  last_index = other296.last_index;
+  last_term = other296.last_term;
+  offset = other296.offset;
+  total = other296.total;
+  data = other296.data;
+  round = other296.round;
+  members = other296.members;
+  return *this;
+}
+snapshot_chunk& snapshot_chunk::operator=(snapshot_chunk&& other297) noexcept {
+  term = other297.term;
+  leader = other297.leader;
+  last_index = other297.last_index;
+  last_term = other297.last_term;
+  offset = other297.offset;
+  total = other297.total;
+  data = std::move(other297.data);
+  round = other297.round;
+  members = std::move(other297.members);
   return *this;
 }
 void snapshot_chunk::printTo(std::ostream& out) const {
@@ -3493,34 +3636,34 @@
   swap(a.round, b.round);
 }
 
-snapshot_reply::snapshot_reply(const snapshot_reply& other274) noexcept {
-  term = other274.term;
-  follower = other274.follower;
-  last_index = other274.last_index;
-  next_offset = other274.next_offset;
-  round = other274.round;
+snapshot_reply::snapshot_reply(const snapshot_reply& other298) noexcept {
+  term = other298.term;
+  follower = other298.follower;
+  last_index = other298.last_index;
+  next_offset = other298.next_offset;
+  round = other298.round;
 }
-snapshot_reply::snapshot_reply(snapshot_reply&& other275) noexcept {
-  term = other275.term;
-  follower = other275.follower;
-  last_index = other275.last_index;
-  next_offset = other275.next_offset;
-  round = other275.round;
+snapshot_reply::snapshot_reply(snapshot_reply&& other299) noexcept {
+  term = other299.term;
+  follower = other299.follower;
+  last_index = other299.last_index;
+  next_offset = other299.next_offset;
+  round = other299.round;
 }
-snapshot_reply& snapshot_reply::operator=(const snapshot_reply& other276) noexcept {
-  term = other276.term;
-  follower = other276.follower;
-  last_index = other276.last_index;
-  next_offset = other276.next_offset;
-  round = other276.round;
+snapshot_reply& snapshot_reply::operator=(const snapshot_reply& other300) noexcept {
+  term = other300.term;
+  follower = other300.follower;
+  last_index = other300.last_index;
+  next_offset = other300.next_offset;
+  round = other300.round;
   return *this;
 }
-snapshot_reply& snapshot_reply::operator=(snapshot_reply&& other277) noexcept {
-  term = other277.term;
-  follower = other277.follower;
-  last_index = other277.last_index;
-  next_offset = other277.next_offset;
-  round = other277.round;
+snapshot_reply& snapshot_reply::operator=(snapshot_reply&& other301) noexcept {
+  term = other301.term;
+  follower = other301.follower;
+  last_index = other301.last_index;
+  next_offset = other301.next_offset;
+  round = other301.round;
   return *this;
 }
 void snapshot_reply::printTo(std::ostream& out) const {
@@ -3559,22 +3702,22 @@
   swap(a.replaces, b.replaces);
 }
 
-join_request::join_request(const join_request& other278) {
-  candidate = other278.candidate;
-  replaces = other278.replaces;
+join_request::join_request(const join_request& other302) {
+  candidate = other302.candidate;
+  replaces = other302.replaces;
 }
-join_request::join_request(join_request&& other279) noexcept {
-  candidate = std::move(other279.candidate);
-  replaces = other279.replaces;
+join_request::join_request(join_request&& other303) noexcept {
+  candidate = std::move(other303.candidate);
+  replaces = other303.replaces;
 }
-join_request& join_request::operator=(const join_request& other280) {
-  candidate = other280.candidate;
-  replaces = other280.replaces;
+join_request& join_request::operator=(const join_request& other304) {
+  candidate = other304.candidate;
+  replaces = other304.replaces;
   return *this;
 }
-join_request& join_request::operator=(join_request&& other281) noexcept {
-  candidate = std::move(other281.candidate);
-  replaces = other281.replaces;
+join_request& join_request::operator=(join_request&& other305) noexcept {
+  candidate = std::move(other305.candidate);
+  replaces = other305.replaces;
   return *this;
 }
 void join_request::printTo(std::ostream& out) const {
@@ -3615,26 +3758,26 @@
   swap(a.id, b.id);
 }
 
-cursor::cursor(const cursor& other282) noexcept {
-  revision = other282.revision;
-  kind = other282.kind;
-  id = other282.id;
+cursor::cursor(const cursor& other306) noexcept {
+  revision = other306.revision;
+  kind = other306.kind;
+  id = other306.id;
 }
-cursor::cursor(cursor&& other283) noexcept {
-  revision = other283.revision;
-  kind = other283.kind;
-  id = other283.id;
+cursor::cursor(cursor&& other307) noexcept {
+  revision = other307.revision;
+  kind = other307.kind;
+  id = other307.id;
 }
-cursor& cursor::operator=(const cursor& other284) noexcept {
-  revision = other284.revision;
-  kind = other284.kind;
-  id = other284.id;
+cursor& cursor::operator=(const cursor& other308) noexcept {
+  revision = other308.revision;
+  kind = other308.kind;
+  id = other308.id;
   return *this;
 }
-cursor& cursor::operator=(cursor&& other285) noexcept {
-  revision = other285.revision;
-  kind = other285.kind;
-  id = other285.id;
+cursor& cursor::operator=(cursor&& other309) noexcept {
+  revision = other309.revision;
+  kind = other309.kind;
+  id = other309.id;
   return *this;
 }
 void cursor::printTo(std::ostream& out) const {
@@ -3704,50 +3847,50 @@
   swap(a.__isset, b.__isset);
 }
 
-pull_request::pull_request(const pull_request& other286) noexcept {
-  node = other286.node;
-  nonce = other286.nonce;
-  revision = other286.revision;
-  position = other286.position;
-  full = other286.full;
-  digest = other286.digest;
-  parents = other286.parents;
-  confirm = other286.confirm;
-  __isset = other286.__isset;
-}
-pull_request::pull_request(pull_request&& other287) noexcept {
-  node = other287.node;
-  nonce = other287.nonce;
-  revision = other287.revision;
-  position = std::move(other287.position);
-  full = other287.full;
-  digest = other287.digest;
-  parents = other287.parents;
-  confirm = other287.confirm;
-  __isset = other287.__isset;
-}
-pull_request& pull_request::operator=(const pull_request& other288) noexcept {
-  node = other288.node;
-  nonce = other288.nonce;
-  revision = other288.revision;
-  position = other288.position;
-  full = other288.full;
-  digest = other288.digest;
-  parents = other288.parents;
-  confirm = other288.confirm;
-  __isset = other288.__isset;
-  return *this;
-}
-pull_request& pull_request::operator=(pull_request&& other289) noexcept {
-  node = other289.node;
-  nonce = other289.nonce;
-  revision = other289.revision;
-  position = std::move(other289.position);
-  full = other289.full;
-  digest = other289.digest;
-  parents = other289.parents;
-  confirm = other289.confirm;
-  __isset = other289.__isset;
+pull_request::pull_request(const pull_request& other310) noexcept {
+  node = other310.node;
+  nonce = other310.nonce;
+  revision = other310.revision;
+  position = other310.position;
+  full = other310.full;
+  digest = other310.digest;
+  parents = other310.parents;
+  confirm = other310.confirm;
+  __isset = other310.__isset;
+}
+pull_request::pull_request(pull_request&& other311) noexcept {
+  node = other311.node;
+  nonce = other311.nonce;
+  revision = other311.revision;
+  position = std::move(other311.position);
+  full = other311.full;
+  digest = other311.digest;
+  parents = other311.parents;
+  confirm = other311.confirm;
+  __isset = other311.__isset;
+}
+pull_request& pull_request::operator=(const pull_request& other312) noexcept {
+  node = other312.node;
+  nonce = other312.nonce;
+  revision = other312.revision;
+  position = other312.position;
+  full = other312.full;
+  digest = other312.digest;
+  parents = other312.parents;
+  confirm = other312.confirm;
+  __isset = other312.__isset;
+  return *this;
+}
+pull_request& pull_request::operator=(pull_request&& other313) noexcept {
+  node = other313.node;
+  nonce = other313.nonce;
+  revision = other313.revision;
+  position = std::move(other313.position);
+  full = other313.full;
+  digest = other313.digest;
+  parents = other313.parents;
+  confirm = other313.confirm;
+  __isset = other313.__isset;
   return *this;
 }
 void pull_request::printTo(std::ostream& out) const {
@@ -3847,70 +3990,70 @@
   swap(a.__isset, b.__isset);
 }
 
-table_page::table_page(const table_page& other320) {
-  revision = other320.revision;
-  config_version = other320.config_version;
-  full = other320.full;
-  start = other320.start;
-  position = other320.position;
-  complete = other320.complete;
-  digest = other320.digest;
-  services = other320.services;
-  targets = other320.targets;
-  nodes = other320.nodes;
-  tombstones = other320.tombstones;
-  routes = other320.routes;
-  document_version = other320.document_version;
-  __isset = other320.__isset;
-}
-table_page::table_page(table_page&& other321) noexcept {
-  revision = other321.revision;
-  config_version = other321.config_version;
-  full = other321.full;
-  start = std::move(other321.start);
-  position = std::move(other321.position);
-  complete = other321.complete;
-  digest = other321.digest;
-  services = std::move(other321.services);
-  targets = std::move(other321.targets);
-  nodes = std::move(other321.nodes);
-  tombstones = std::move(other321.tombstones);
-  routes = std::move(other321.routes);
-  document_version = other321.document_version;
-  __isset = other321.__isset;
-}
-table_page& table_page::operator=(const table_page& other322) {
-  revision = other322.revision;
-  config_version = other322.config_version;
-  full = other322.full;
-  start = other322.start;
-  position = other322.position;
-  complete = other322.complete;
-  digest = other322.digest;
-  services = other322.services;
-  targets = other322.targets;
-  nodes = other322.nodes;
-  tombstones = other322.tombstones;
-  routes = other322.routes;
-  document_version = other322.document_version;
-  __isset = other322.__isset;
-  return *this;
-}
-table_page& table_page::operator=(table_page&& other323) noexcept {
-  revision = other323.revision;
-  config_version = other323.config_version;
-  full = other323.full;
-  start = std::move(other323.start);
-  position = std::move(other323.position);
-  complete = other323.complete;
-  digest = other323.digest;
-  services = std::move(other323.services);
-  targets = std::move(other323.targets);
-  nodes = std::move(other323.nodes);
-  tombstones = std::move(other323.tombstones);
-  routes = std::move(other323.routes);
-  document_version = other323.document_version;
-  __isset = other323.__isset;
+table_page::table_page(const table_page& other344) {
+  revision = other344.revision;
+  config_version = other344.config_version;
+  full = other344.full;
+  start = other344.start;
+  position = other344.position;
+  complete = other344.complete;
+  digest = other344.digest;
+  services = other344.services;
+  targets = other344.targets;
+  nodes = other344.nodes;
+  tombstones = other344.tombstones;
+  routes = other344.routes;
+  document_version = other344.document_version;
+  __isset = other344.__isset;
+}
+table_page::table_page(table_page&& other345) noexcept {
+  revision = other345.revision;
+  config_version = other345.config_version;
+  full = other345.full;
+  start = std::move(other345.start);
+  position = std::move(other345.position);
+  complete = other345.complete;
+  digest = other345.digest;
+  services = std::move(other345.services);
+  targets = std::move(other345.targets);
+  nodes = std::move(other345.nodes);
+  tombstones = std::move(other345.tombstones);
+  routes = std::move(other345.routes);
+  document_version = other345.document_version;
+  __isset = other345.__isset;
+}
+table_page& table_page::operator=(const table_page& other346) {
+  revision = other346.revision;
+  config_version = other346.config_version;
+  full = other346.full;
+  start = other346.start;
+  position = other346.position;
+  complete = other346.complete;
+  digest = other346.digest;
+  services = other346.services;
+  targets = other346.targets;
+  nodes = other346.nodes;
+  tombstones = other346.tombstones;
+  routes = other346.routes;
+  document_version = other346.document_version;
+  __isset = other346.__isset;
+  return *this;
+}
+table_page& table_page::operator=(table_page&& other347) noexcept {
+  revision = other347.revision;
+  config_version = other347.config_version;
+  full = other347.full;
+  start = std::move(other347.start);
+  position = std::move(other347.position);
+  complete = other347.complete;
+  digest = other347.digest;
+  services = std::move(other347.services);
+  targets = std::move(other347.targets);
+  nodes = std::move(other347.nodes);
+  tombstones = std::move(other347.tombstones);
+  routes = std::move(other347.routes);
+  document_version = other347.document_version;
+  __isset = other347.__isset;
   return *this;
 }
 void table_page::printTo(std::ostream& out) const {
@@ -3993,50 +4136,50 @@
   swap(a.__isset, b.__isset);
 }
 
-pull_reply::pull_reply(const pull_reply& other330) {
-  nonce = other330.nonce;
-  age_ms = other330.age_ms;
-  page = other330.page;
-  crowded = other330.crowded;
-  parents = other330.parents;
-  confirm = other330.confirm;
-  confirmed = other330.confirmed;
-  leader = other330.leader;
-  __isset = other330.__isset;
-}
-pull_reply::pull_reply(pull_reply&& other331) noexcept {
-  nonce = other331.nonce;
-  age_ms = other331.age_ms;
-  page = std::move(other331.page);
-  crowded = other331.crowded;
-  parents = std::move(other331.parents);
-  confirm = other331.confirm;
-  confirmed = other331.confirmed;
-  leader = std::move(other331.leader);
-  __isset = other331.__isset;
-}
-pull_reply& pull_reply::operator=(const pull_reply& other332) {
-  nonce = other332.nonce;
-  age_ms = other332.age_ms;
-  page = other332.page;
-  crowded = other332.crowded;
-  parents = other332.parents;
-  confirm = other332.confirm;
-  confirmed = other332.confirmed;
-  leader = other332.leader;
-  __isset = other332.__isset;
-  return *this;
-}
-pull_reply& pull_reply::operator=(pull_reply&& other333) noexcept {
-  nonce = other333.nonce;
-  age_ms = other333.age_ms;
-  page = std::move(other333.page);
-  crowded = other333.crowded;
-  parents = std::move(other333.parents);
-  confirm = other333.confirm;
-  confirmed = other333.confirmed;
-  leader = std::move(other333.leader);
-  __isset = other333.__isset;
+pull_reply::pull_reply(const pull_reply& other354) {
+  nonce = other354.nonce;
+  age_ms = other354.age_ms;
+  page = other354.page;
+  crowded = other354.crowded;
+  parents = other354.parents;
+  confirm = other354.confirm;
+  confirmed = other354.confirmed;
+  leader = other354.leader;
+  __isset = other354.__isset;
+}
+pull_reply::pull_reply(pull_reply&& other355) noexcept {
+  nonce = other355.nonce;
+  age_ms = other355.age_ms;
+  page = std::move(other355.page);
+  crowded = other355.crowded;
+  parents = std::move(other355.parents);
+  confirm = other355.confirm;
+  confirmed = other355.confirmed;
+  leader = std::move(other355.leader);
+  __isset = other355.__isset;
+}
+pull_reply& pull_reply::operator=(const pull_reply& other356) {
+  nonce = other356.nonce;
+  age_ms = other356.age_ms;
+  page = other356.page;
+  crowded = other356.crowded;
+  parents = other356.parents;
+  confirm = other356.confirm;
+  confirmed = other356.confirmed;
+  leader = other356.leader;
+  __isset = other356.__isset;
+  return *this;
+}
+pull_reply& pull_reply::operator=(pull_reply&& other357) noexcept {
+  nonce = other357.nonce;
+  age_ms = other357.age_ms;
+  page = std::move(other357.page);
+  crowded = other357.crowded;
+  parents = std::move(other357.parents);
+  confirm = other357.confirm;
+  confirmed = other357.confirmed;
+  leader = std::move(other357.leader);
+  __isset = other357.__isset;
   return *this;
 }
 void pull_reply::printTo(std::ostream& out) const {
@@ -4073,18 +4216,18 @@
   swap(a.revision, b.revision);
 }
 
-change_notice::change_notice(const change_notice& other334) noexcept {
-  revision = other334.revision;
+change_notice::change_notice(const change_notice& other358) noexcept {
+  revision = other358.revision;
 }
-change_notice::change_notice(change_notice&& other335) noexcept {
-  revision = other335.revision;
+change_notice::change_notice(change_notice&& other359) noexcept {
+  revision = other359.revision;
 }
-change_notice& change_notice::operator=(const change_notice& other336) noexcept {
-  revision = other336.revision;
+change_notice& change_notice::operator=(const change_notice& other360) noexcept {
+  revision = other360.revision;
   return *this;
 }
-change_notice& change_notice::operator=(change_notice&& other337) noexcept {
-  revision = other337.revision;
+change_notice& change_notice::operator=(change_notice&& other361) noexcept {
+  revision = other361.revision;
   return *this;
 }
 void change_notice::printTo(std::ostream& out) const {
@@ -4168,62 +4311,62 @@
   swap(a.__isset, b.__isset);
 }
 
-announce::announce(const announce& other338) {
-  nonce = other338.nonce;
-  role = other338.role;
-  name = other338.name;
-  zone = other338.zone;
-  address = other338.address;
-  reply_to = other338.reply_to;
-  service_name = other338.service_name;
-  slots = other338.slots;
-  connections = other338.connections;
-  state = other338.state;
-  hops = other338.hops;
-  __isset = other338.__isset;
-}
-announce::announce(announce&& other339) noexcept {
-  nonce = other339.nonce;
-  role = other339.role;
-  name = std::move(other339.name);
-  zone = std::move(other339.zone);
-  address = std::move(other339.address);
-  reply_to = std::move(other339.reply_to);
-  service_name = std::move(other339.service_name);
-  slots = other339.slots;
-  connections = other339.connections;
-  state = other339.state;
-  hops = other339.hops;
-  __isset = other339.__isset;
-}
-announce& announce::operator=(const announce& other340) {
-  nonce = other340.nonce;
-  role = other340.role;
-  name = other340.name;
-  zone = other340.zone;
-  address = other340.address;
-  reply_to = other340.reply_to;
-  service_name = other340.service_name;
-  slots = other340.slots;
-  connections = other340.connections;
-  state = other340.state;
-  hops = other340.hops;
-  __isset = other340.__isset;
-  return *this;
-}
-announce& announce::operator=(announce&& other341) noexcept {
-  nonce = other341.nonce;
-  role = other341.role;
-  name = std::move(other341.name);
-  zone = std::move(other341.zone);
-  address = std::move(other341.address);
-  reply_to = std::move(other341.reply_to);
-  service_name = std::move(other341.service_name);
-  slots = other341.slots;
-  connections = other341.connections;
-  state = other341.state;
-  hops = other341.hops;
-  __isset = other341.__isset;
+announce::announce(const announce& other362) {
+  nonce = other362.nonce;
+  role = other362.role;
+  name = other362.name;
+  zone = other362.zone;
+  address = other362.address;
+  reply_to = other362.reply_to;
+  service_name = other362.service_name;
+  slots = other362.slots;
+  connections = other362.connections;
+  state = other362.state;
+  hops = other362.hops;
+  __isset = other362.__isset;
+}
+announce::announce(announce&& other363) noexcept {
+  nonce = other363.nonce;
+  role = other363.role;
+  name = std::move(other363.name);
+  zone = std::move(other363.zone);
+  address = std::move(other363.address);
+  reply_to = std::move(other363.reply_to);
+  service_name = std::move(other363.service_name);
+  slots = other363.slots;
+  connections = other363.connections;
+  state = other363.state;
+  hops = other363.hops;
+  __isset = other363.__isset;
+}
+announce& announce::operator=(const announce& other364) {
+  nonce = other364.nonce;
+  role = other364.role;
+  name = other364.name;
+  zone = other364.zone;
+  address = other364.address;
+  reply_to = other364.reply_to;
+  service_name = other364.service_name;
+  slots = other364.slots;
+  connections = other364.connections;
+  state = other364.state;
+  hops = other364.hops;
+  __isset = other364.__isset;
+  return *this;
+}
+announce& announce::operator=(announce&& other365) noexcept {
+  nonce = other365.nonce;
+  role = other365.role;
+  name = std::move(other365.name);
+  zone = std::move(other365.zone);
+  address = std::move(other365.address);
+  reply_to = std::move(other365.reply_to);
+  service_name = std::move(other365.service_name);
+  slots = other365.slots;
+  connections = other365.connections;
+  state = other365.state;
+  hops = other365.hops;
+  __isset = other365.__isset;
   return *this;
 }
 void announce::printTo(std::ostream& out) const {
@@ -4283,34 +4426,34 @@
   swap(a.retry_after_ms, b.retry_after_ms);
 }
 
-announce_reply::announce_reply(const announce_reply& other342) noexcept {
-  nonce = other342.nonce;
-  incarnation = other342.incarnation;
-  code = other342.code;
-  revision = other342.revision;
-  retry_after_ms = other342.retry_after_ms;
-}
-announce_reply::announce_reply(announce_reply&& other343) noexcept {
-  nonce = other343.nonce;
-  incarnation = other343.incarnation;
-  code = other343.code;
-  revision = other343.revision;
-  retry_after_ms = other343.retry_after_ms;
-}
-announce_reply& announce_reply::operator=(const announce_reply& other344) noexcept {
-  nonce = other344.nonce;
-  incarnation = other344.incarnation;
-  code = other344.code;
-  revision = other344.revision;
-  retry_after_ms = other344.retry_after_ms;
+announce_reply::announce_reply(const announce_reply& other366) noexcept {
+  nonce = other366.nonce;
+  incarnation = other366.incarnation;
+  code = other366.code;
+  revision = other366.revision;
+  retry_after_ms = other366.retry_after_ms;
+}
+announce_reply::announce_reply(announce_reply&& other367) noexcept {
+  nonce = other367.nonce;
+  incarnation = other367.incarnation;
+  code = other367.code;
+  revision = other367.revision;
+  retry_after_ms = other367.retry_after_ms;
+}
+announce_reply& announce_reply::operator=(const announce_reply& other368) noexcept {
+  nonce = other368.nonce;
+  incarnation = other368.incarnation;
+  code = other368.code;
+  revision = other368.revision;
+  retry_after_ms = other368.retry_after_ms;
   return *this;
 }
-announce_reply& announce_reply::operator=(announce_reply&& other345) noexcept {
-  nonce = other345.nonce;
-  incarnation = other345.incarnation;
-  code = other345.code;
-  revision = other345.revision;
-  retry_after_ms = other345.retry_after_ms;
+announce_reply& announce_reply::operator=(announce_reply&& other369) noexcept {
+  nonce = other369.nonce;
+  incarnation = other369.incarnation;
+  code = other369.code;
+  revision = other369.revision;
+  retry_after_ms = other369.retry_after_ms;
   return *this;
 }
 void announce_reply::printTo(std::ostream& out) const {
@@ -4354,26 +4497,26 @@
   swap(a.silent_ms, b.silent_ms);
 }
 
-child_report::child_report(const child_report& other346) noexcept {
-  node = other346.node;
-  revision = other346.revision;
-  silent_ms = other346.silent_ms;
+child_report::child_report(const child_report& other370) noexcept {
+  node = other370.node;
+  revision = other370.revision;
+  silent_ms = other370.silent_ms;
 }
-child_report::child_report(child_report&& other347) noexcept {
-  node = other347.node;
-  revision = other347.revision;
-  silent_ms = other347.silent_ms;
+child_report::child_report(child_report&& other371) noexcept {
+  node = other371.node;
+  revision = other371.revision;
+  silent_ms = other371.silent_ms;
 }
-child_report& child_report::operator=(const child_report& other348) noexcept {
-  node = other348.node;
-  revision = other348.revision;
-  silent_ms = other348.silent_ms;
+child_report& child_report::operator=(const child_report& other372) noexcept {
+  node = other372.node;
+  revision = other372.revision;
+  silent_ms = other372.silent_ms;
   return *this;
 }
-child_report& child_report::operator=(child_report&& other349) noexcept {
-  node = other349.node;
-  revision = other349.revision;
-  silent_ms = other349.silent_ms;
+child_report& child_report::operator=(child_report&& other373) noexcept {
+  node = other373.node;
+  revision = other373.revision;
+  silent_ms = other373.silent_ms;
   return *this;
 }
 void child_report::printTo(std::ostream& out) const {
@@ -4435,42 +4578,42 @@
   swap(a.live_children, b.live_children);
 }
 
-relay_report::relay_report(const relay_report& other356) {
-  relay = other356.relay;
-  nonce = other356.nonce;
-  sequence = other356.sequence;
-  full = other356.full;
-  children = other356.children;
-  lowest_revision = other356.lowest_revision;
-  live_children = other356.live_children;
-}
-relay_report::relay_report(relay_report&& other357) noexcept {
-  relay = other357.relay;
-  nonce = other357.nonce;
-  sequence = other357.sequence;
-  full = other357.full;
-  children = std::move(other357.children);
-  lowest_revision = other357.lowest_revision;
-  live_children = other357.live_children;
-}
-relay_report& relay_report::operator=(const relay_report& other358) {
-  relay = other358.relay;
-  nonce = other358.nonce;
-  sequence = other358.sequence;
-  full = other358.full;
-  children = other358.children;
-  lowest_revision = other358.lowest_revision;
-  live_children = other358.live_children;
-  return *this;
-}
-relay_report& relay_report::operator=(relay_report&& other359) noexcept {
-  relay = other359.relay;
-  nonce = other359.nonce;
-  sequence = other359.sequence;
-  full = other359.full;
-  children = std::move(other359.children);
-  lowest_revision = other359.lowest_revision;
-  live_children = other359.live_children;
+relay_report::relay_report(const relay_report& other380) {
+  relay = other380.relay;
+  nonce = other380.nonce;
+  sequence = other380.sequence;
+  full = other380.full;
+  children = other380.children;
+  lowest_revision = other380.lowest_revision;
+  live_children = other380.live_children;
+}
+relay_report::relay_report(relay_report&& other381) noexcept {
+  relay = other381.relay;
+  nonce = other381.nonce;
+  sequence = other381.sequence;
+  full = other381.full;
+  children = std::move(other381.children);
+  lowest_revision = other381.lowest_revision;
+  live_children = other381.live_children;
+}
+relay_report& relay_report::operator=(const relay_report& other382) {
+  relay = other382.relay;
+  nonce = other382.nonce;
+  sequence = other382.sequence;
+  full = other382.full;
+  children = other382.children;
+  lowest_revision = other382.lowest_revision;
+  live_children = other382.live_children;
+  return *this;
+}
+relay_report& relay_report::operator=(relay_report&& other383) noexcept {
+  relay = other383.relay;
+  nonce = other383.nonce;
+  sequence = other383.sequence;
+  full = other383.full;
+  children = std::move(other383.children);
+  lowest_revision = other383.lowest_revision;
+  live_children = other383.live_children;
   return *this;
 }
 void relay_report::printTo(std::ostream& out) const {
@@ -4516,26 +4659,26 @@
   swap(a.send_full, b.send_full);
 }
 
-relay_report_reply::relay_report_reply(const relay_report_reply& other360) noexcept {
-  nonce = other360.nonce;
-  sequence = other360.sequence;
-  send_full = other360.send_full;
+relay_report_reply::relay_report_reply(const relay_report_reply& other384) noexcept {
+  nonce = other384.nonce;
+  sequence = other384.sequence;
+  send_full = other384.send_full;
 }
-relay_report_reply::relay_report_reply(relay_report_reply&& other361) noexcept {
-  nonce = other361.nonce;
-  sequence = other361.sequence;
-  send_full = other361.send_full;
+relay_report_reply::relay_report_reply(relay_report_reply&& other385) noexcept {
+  nonce = other385.nonce;
+  sequence = other385.sequence;
+  send_full = other385.send_full;
 }
-relay_report_reply& relay_report_reply::operator=(const relay_report_reply& other362) noexcept {
-  nonce = other362.nonce;
-  sequence = other362.sequence;
-  send_full = other362.send_full;
+relay_report_reply& relay_report_reply::operator=(const relay_report_reply& other386) noexcept {
+  nonce = other386.nonce;
+  sequence = other386.sequence;
+  send_full = other386.send_full;
   return *this;
 }
-relay_report_reply& relay_report_reply::operator=(relay_report_reply&& other363) noexcept {
-  nonce = other363.nonce;
-  sequence = other363.sequence;
-  send_full = other363.send_full;
+relay_report_reply& relay_report_reply::operator=(relay_report_reply&& other387) noexcept {
+  nonce = other387.nonce;
+  sequence = other387.sequence;
+  send_full = other387.send_full;
   return *this;
 }
 void relay_report_reply::printTo(std::ostream& out) const {
@@ -4567,18 +4710,18 @@
   swap(a.nonce, b.nonce);
 }
 
-flow_open::flow_open(const flow_open& other364) noexcept {
-  nonce = other364.nonce;
+flow_open::flow_open(const flow_open& other388) noexcept {
+  nonce = other388.nonce;
 }
-flow_open::flow_open(flow_open&& other365) noexcept {
-  nonce = other365.nonce;
+flow_open::flow_open(flow_open&& other389) noexcept {
+  nonce = other389.nonce;
 }
-flow_open& flow_open::operator=(const flow_open& other366) noexcept {
-  nonce = other366.nonce;
+flow_open& flow_open::operator=(const flow_open& other390) noexcept {
+  nonce = other390.nonce;
   return *this;
 }
-flow_open& flow_open::operator=(flow_open&& other367) noexcept {
-  nonce = other367.nonce;
+flow_open& flow_open::operator=(flow_open&& other391) noexcept {
+  nonce = other391.nonce;
   return *this;
 }
 void flow_open::printTo(std::ostream& out) const {
@@ -4618,26 +4761,26 @@
   swap(a.token, b.token);
 }
 
-flow_open_ack::flow_open_ack(const flow_open_ack& other368) noexcept {
-  nonce = other368.nonce;
-  incarnation = other368.incarnation;
-  token = other368.token;
+flow_open_ack::flow_open_ack(const flow_open_ack& other392) noexcept {
+  nonce = other392.nonce;
+  incarnation = other392.incarnation;
+  token = other392.token;
 }
-flow_open_ack::flow_open_ack(flow_open_ack&& other369) noexcept {
-  nonce = other369.nonce;
-  incarnation = other369.incarnation;
-  token = other369.token;
+flow_open_ack::flow_open_ack(flow_open_ack&& other393) noexcept {
+  nonce = other393.nonce;
+  incarnation = other393.incarnation;
+  token = other393.token;
 }
-flow_open_ack& flow_open_ack::operator=(const flow_open_ack& other370) noexcept {
-  nonce = other370.nonce;
-  incarnation = other370.incarnation;
-  token = other370.token;
+flow_open_ack& flow_open_ack::operator=(const flow_open_ack& other394) noexcept {
+  nonce = other394.nonce;
+  incarnation = other394.incarnation;
+  token = other394.token;
   return *this;
 }
-flow_open_ack& flow_open_ack::operator=(flow_open_ack&& other371) noexcept {
-  nonce = other371.nonce;
-  incarnation = other371.incarnation;
-  token = other371.token;
+flow_open_ack& flow_open_ack::operator=(flow_open_ack&& other395) noexcept {
+  nonce = other395.nonce;
+  incarnation = other395.incarnation;
+  token = other395.token;
   return *this;
 }
 void flow_open_ack::printTo(std::ostream& out) const {
@@ -4674,22 +4817,22 @@
   swap(a.reason, b.reason);
 }
 
-flow_refused::flow_refused(const flow_refused& other372) noexcept {
-  nonce = other372.nonce;
-  reason = other372.reason;
+flow_refused::flow_refused(const flow_refused& other396) noexcept {
+  nonce = other396.nonce;
+  reason = other396.reason;
 }
-flow_refused::flow_refused(flow_refused&& other373) noexcept {
-  nonce = other373.nonce;
-  reason = other373.reason;
+flow_refused::flow_refused(flow_refused&& other397) noexcept {
+  nonce = other397.nonce;
+  reason = other397.reason;
 }
-flow_refused& flow_refused::operator=(const flow_refused& other374) noexcept {
-  nonce = other374.nonce;
-  reason = other374.reason;
+flow_refused& flow_refused::operator=(const flow_refused& other398) noexcept {
+  nonce = other398.nonce;
+  reason = other398.reason;
   return *this;
 }
-flow_refused& flow_refused::operator=(flow_refused&& other375) noexcept {
-  nonce = other375.nonce;
-  reason = other375.reason;
+flow_refused& flow_refused::operator=(flow_refused&& other399) noexcept {
+  nonce = other399.nonce;
+  reason = other399.reason;
   return *this;
 }
 void flow_refused::printTo(std::ostream& out) const {
@@ -4755,46 +4898,46 @@
   swap(a.body, b.body);
 }
 
-request::request(const request& other376) {
-  incarnation = other376.incarnation;
-  token = other376.token;
-  sequence = other376.sequence;
-  settled_below = other376.settled_below;
-  idempotent = other376.idempotent;
-  remaining_ms = other376.remaining_ms;
-  method = other376.method;
-  body = other376.body;
-}
-request::request(request&& other377) noexcept {
-  incarnation = other377.incarnation;
-  token = other377.token;
-  sequence = other377.sequence;
-  settled_below = other377.settled_below;
-  idempotent = other377.idempotent;
-  remaining_ms = other377.remaining_ms;
-  method = std::move(other377.method);
-  body = std::move(other377.body);
-}
-request& request::operator=(const request& other378) {
-  incarnation = other378.incarnation;
-  token = other378.token;
-  sequence = other378.sequence;
-  settled_below = other378.settled_below;
-  idempotent = other378.idempotent;
-  remaining_ms = other378.remaining_ms;
-  method = other378.method;
-  body = other378.body;
-  return *this;
-}
-request& request::operator=(request&& other379) noexcept {
-  incarnation = other379.incarnation;
-  token = other379.token;
-  sequence = other379.sequence;
-  settled_below = other379.settled_below;
-  idempotent = other379.idempotent;
-  remaining_ms = other379.remaining_ms;
-  method = std::move(other379.method);
-  body = std::move(other379.body);
+request::request(const request& other400) {
+  incarnation = other400.incarnation;
+  token = other400.token;
+  sequence = other400.sequence;
+  settled_below = other400.settled_below;
+  idempotent = other400.idempotent;
+  remaining_ms = other400.remaining_ms;
+  method = other400.method;
+  body = other400.body;
+}
+request::request(request&& other401) noexcept {
+  incarnation = other401.incarnation;
+  token = other401.token;
+  sequence = other401.sequence;
+  settled_below = other401.settled_below;
+  idempotent = other401.idempotent;
+  remaining_ms = other401.remaining_ms;
+  method = std::move(other401.method);
+  body = std::move(other401.body);
+}
+request& request::operator=(const request& other402) {
+  incarnation = other402.incarnation;
+  token = other402.token;
+  sequence = other402.sequence;
+  settled_below = other402.settled_below;
+  idempotent = other402.idempotent;
+  remaining_ms = other402.remaining_ms;
+  method = other402.method;
+  body = other402.body;
+  return *this;
+}
+request& request::operator=(request&& other403) noexcept {
+  incarnation = other403.incarnation;
+  token = other403.token;
+  sequence = other403.sequence;
+  settled_below = other403.settled_below;
+  idempotent = other403.idempotent;
+  remaining_ms = other403.remaining_ms;
+  method = std::move(other403.method);
+  body = std::move(other403.body);
   return *this;
 }
 void request::printTo(std::ostream& out) const {
@@ -4861,42 +5004,42 @@
   swap(a.bytes, b.bytes);
 }
 
-response_part::response_part(const response_part& other380) {
-  token = other380.token;
-  sequence = other380.sequence;
-  index = other380.index;
-  count = other380.count;
-  total_length = other380.total_length;
-  checksum = other380.checksum;
-  bytes = other380.bytes;
-}
-response_part::response_part(response_part&& other381) noexcept {
-  token = other381.token;
-  sequence = other381.sequence;
-  index = other381.index;
-  count = other381.count;
-  total_length = other381.total_length;
-  checksum = other381.checksum;
-  bytes = std::move(other381.bytes);
-}
-response_part& response_part::operator=(const response_part& other382) {
-  token = other382.token;
-  sequence = other382.sequence;
-  index = other382.index;
-  count = other382.count;
-  total_length = other382.total_length;
-  checksum = other382.checksum;
-  bytes = other382.bytes;
+response_part::response_part(const response_part& other404) {
+  token = other404.token;
+  sequence = other404.sequence;
+  index = other404.index;
+  count = other404.count;
+  total_length = other404.total_length;
+  checksum = other404.checksum;
+  bytes = other404.bytes;
+}
+response_part::response_part(response_part&& other405) noexcept {
+  token = other405.token;
+  sequence = other405.sequence;
+  index = other405.index;
+  count = other405.count;
+  total_length = other405.total_length;
+  checksum = other405.checksum;
+  bytes = std::move(other405.bytes);
+}
+response_part& response_part::operator=(const response_part& other406) {
+  token = other406.token;
+  sequence = other406.sequence;
+  index = other406.index;
+  count = other406.count;
+  total_length = other406.total_length;
+  checksum = other406.checksum;
+  bytes = other406.bytes;
   return *this;
 }
-response_part& response_part::operator=(response_part&& other383) noexcept {
-  token = other383.token;
-  sequence = other383.sequence;
-  index = other383.index;
-  count = other383.count;
-  total_length = other383.total_length;
-  checksum = other383.checksum;
-  bytes = std::move(other383.bytes);
+response_part& response_part::operator=(response_part&& other407) noexcept {
+  token = other407.token;
+  sequence = other407.sequence;
+  index = other407.index;
+  count = other407.count;
+  total_length = other407.total_length;
+  checksum = other407.checksum;
+  bytes = std::move(other407.bytes);
   return *this;
 }
 void response_part::printTo(std::ostream& out) const {
@@ -4947,30 +5090,30 @@
   swap(a.reason, b.reason);
 }
 
-request_result::request_result(const request_result& other384) noexcept {
-  token = other384.token;
-  sequence = other384.sequence;
-  status = other384.status;
-  reason = other384.reason;
+request_result::request_result(const request_result& other408) noexcept {
+  token = other408.token;
+  sequence = other408.sequence;
+  status = other408.status;
+  reason = other408.reason;
 }
-request_result::request_result(request_result&& other385) noexcept {
-  token = other385.token;
-  sequence = other385.sequence;
-  status = other385.status;
-  reason = other385.reason;
+request_result::request_result(request_result&& other409) noexcept {
+  token = other409.token;
+  sequence = other409.sequence;
+  status = other409.status;
+  reason = other409.reason;
 }
-request_result& request_result::operator=(const request_result& other386) noexcept {
-  token = other386.token;
-  sequence = other386.sequence;
-  status = other386.status;
-  reason = other386.reason;
+request_result& request_result::operator=(const request_result& other410) noexcept {
+  token = other410.token;
+  sequence = other410.sequence;
+  status = other410.status;
+  reason = other410.reason;
   return *this;
 }
-request_result& request_result::operator=(request_result&& other387) noexcept {
-  token = other387.token;
-  sequence = other387.sequence;
-  status = other387.status;
-  reason = other387.reason;
+request_result& request_result::operator=(request_result&& other411) noexcept {
+  token = other411.token;
+  sequence = other411.sequence;
+  status = other411.status;
+  reason = other411.reason;
   return *this;
 }
 void request_result::printTo(std::ostream& out) const {
@@ -5013,26 +5156,26 @@
   swap(a.missing, b.missing);
 }
 
-part_request::part_request(const part_request& other394) {
-  token = other394.token;
-  sequence = other394.sequence;
-  missing = other394.missing;
+part_request::part_request(const part_request& other418) {
+  token = other418.token;
+  sequence = other418.sequence;
+  missing = other418.missing;
 }
-part_request::part_request(part_request&& other395) noexcept {
-  token = other395.token;
-  sequence = other395.sequence;
-  missing = std::move(other395.missing);
+part_request::part_request(part_request&& other419) noexcept {
+  token = other419.token;
+  sequence = other419.sequence;
+  missing = std::move(other419.missing);
 }
-part_request& part_request::operator=(const part_request& other396) {
-  token = other396.token;
-  sequence = other396.sequence;
-  missing = other396.missing;
+part_request& part_request::operator=(const part_request& other420) {
+  token = other420.token;
+  sequence = other420.sequence;
+  missing = other420.missing;
   return *this;
 }
-part_request& part_request::operator=(part_request&& other397) noexcept {
-  token = other397.token;
-  sequence = other397.sequence;
-  missing = std::move(other397.missing);
+part_request& part_request::operator=(part_request&& other421) noexcept {
+  token = other421.token;
+  sequence = other421.sequence;
+  missing = std::move(other421.missing);
   return *this;
 }
 void part_request::printTo(std::ostream& out) const {
@@ -5074,26 +5217,26 @@
   swap(a.sequence, b.sequence);
 }
 
-request_cancel::request_cancel(const request_cancel& other398) noexcept {
-  incarnation = other398.incarnation;
-  token = other398.token;
-  sequence = other398.sequence;
+request_cancel::request_cancel(const request_cancel& other422) noexcept {
+  incarnation = other422.incarnation;
+  token = other422.token;
+  sequence = other422.sequence;
 }
-request_cancel::request_cancel(request_cancel&& other399) noexcept {
-  incarnation = other399.incarnation;
-  token = other399.token;
-  sequence = other399.sequence;
+request_cancel::request_cancel(request_cancel&& other423) noexcept {
+  incarnation = other423.incarnation;
+  token = other423.token;
+  sequence = other423.sequence;
 }
-request_cancel& request_cancel::operator=(const request_cancel& other400) noexcept {
-  incarnation = other400.incarnation;
-  token = other400.token;
-  sequence = other400.sequence;
+request_cancel& request_cancel::operator=(const request_cancel& other424) noexcept {
+  incarnation = other424.incarnation;
+  token = other424.token;
+  sequence = other424.sequence;
   return *this;
 }
-request_cancel& request_cancel::operator=(request_cancel&& other401) noexcept {
-  incarnation = other401.incarnation;
-  token = other401.token;
-  sequence = other401.sequence;
+request_cancel& request_cancel::operator=(request_cancel&& other425) noexcept {
+  incarnation = other425.incarnation;
+  token = other425.token;
+  sequence = other425.sequence;
   return *this;
 }
 void request_cancel::printTo(std::ostream& out) const {
@@ -5130,22 +5273,22 @@
   swap(a.token, b.token);
 }
 
-flow_close::flow_close(const flow_close& other402) noexcept {
-  incarnation = other402.incarnation;
-  token = other402.token;
+flow_close::flow_close(const flow_close& other426) noexcept {
+  incarnation = other426.incarnation;
+  token = other426.token;
 }
-flow_close::flow_close(flow_close&& other403) noexcept {
-  incarnation = other403.incarnation;
-  token = other403.token;
+flow_close::flow_close(flow_close&& other427) noexcept {
+  incarnation = other427.incarnation;
+  token = other427.token;
 }
-flow_close& flow_close::operator=(const flow_close& other404) noexcept {
-  incarnation = other404.incarnation;
-  token = other404.token;
+flow_close& flow_close::operator=(const flow_close& other428) noexcept {
+  incarnation = other428.incarnation;
+  token = other428.token;
   return *this;
 }
-flow_close& flow_close::operator=(flow_close&& other405) noexcept {
-  incarnation = other405.incarnation;
-  token = other405.token;
+flow_close& flow_close::operator=(flow_close&& other429) noexcept {
+  incarnation = other429.incarnation;
+  token = other429.token;
   return *this;
 }
 void flow_close::printTo(std::ostream& out) const {
@@ -5176,18 +5319,18 @@
   swap(a.token, b.token);
 }
 
-flow_close_ack::flow_close_ack(const flow_close_ack& other406) noexcept {
-  token = other406.token;
+flow_close_ack::flow_close_ack(const flow_close_ack& other430) noexcept {
+  token = other430.token;
 }
-flow_close_ack::flow_close_ack(flow_close_ack&& other407) noexcept {
-  token = other407.token;
+flow_close_ack::flow_close_ack(flow_close_ack&& other431) noexcept {
+  token = other431.token;
 }
-flow_close_ack& flow_close_ack::operator=(const flow_close_ack& other408) noexcept {
-  token = other408.token;
+flow_close_ack& flow_close_ack::operator=(const flow_close_ack& other432) noexcept {
+  token = other432.token;
   return *this;
 }
-flow_close_ack& flow_close_ack::operator=(flow_close_ack&& other409) noexcept {
-  token = other409.token;
+flow_close_ack& flow_close_ack::operator=(flow_close_ack&& other433) noexcept {
+  token = other433.token;
   return *this;
 }
 void flow_close_ack::printTo(std::ostream& out) const {
@@ -5222,22 +5365,22 @@
   swap(a.token, b.token);
 }
 
-flow_reset::flow_reset(const flow_reset& other410) noexcept {
-  incarnation = other410.incarnation;
-  token = other410.token;
+flow_reset::flow_reset(const flow_reset& other434) noexcept {
+  incarnation = other434.incarnation;
+  token = other434.token;
 }
-flow_reset::flow_reset(flow_reset&& other411) noexcept {
-  incarnation = other411.incarnation;
-  token = other411.token;
+flow_reset::flow_reset(flow_reset&& other435) noexcept {
+  incarnation = other435.incarnation;
+  token = other435.token;
 }
-flow_reset& flow_reset::operator=(const flow_reset& other412) noexcept {
-  incarnation = other412.incarnation;
-  token = other412.token;
+flow_reset& flow_reset::operator=(const flow_reset& other436) noexcept {
+  incarnation = other436.incarnation;
+  token = other436.token;
   return *this;
 }
-flow_reset& flow_reset::operator=(flow_reset&& other413) noexcept {
-  incarnation = other413.incarnation;
-  token = other413.token;
+flow_reset& flow_reset::operator=(flow_reset&& other437) noexcept {
+  incarnation = other437.incarnation;
+  token = other437.token;
   return *this;
 }
 void flow_reset::printTo(std::ostream& out) const {
@@ -5278,26 +5421,26 @@
   swap(a.bytes, b.bytes);
 }
 
-push::push(const push& other414) {
-  token = other414.token;
-  sequence = other414.sequence;
-  bytes = other414.bytes;
+push::push(const push& other438) {
+  token = other438.token;
+  sequence = other438.sequence;
+  bytes = other438.bytes;
 }
-push::push(push&& other415) noexcept {
-  token = other415.token;
-  sequence = other415.sequence;
-  bytes = std::move(other415.bytes);
+push::push(push&& other439) noexcept {
+  token = other439.token;
+  sequence = other439.sequence;
+  bytes = std::move(other439.bytes);
 }
-push& push::operator=(const push& other416) {
-  token = other416.token;
-  sequence = other416.sequence;
-  bytes = other416.bytes;
+push& push::operator=(const push& other440) {
+  token = other440.token;
+  sequence = other440.sequence;
+  bytes = other440.bytes;
   return *this;
 }
-push& push::operator=(push&& other417) noexcept {
-  token = other417.token;
-  sequence = other417.sequence;
-  bytes = std::move(other417.bytes);
+push& push::operator=(push&& other441) noexcept {
+  token = other441.token;
+  sequence = other441.sequence;
+  bytes = std::move(other441.bytes);
   return *this;
 }
 void push::printTo(std::ostream& out) const {
@@ -5334,22 +5477,22 @@
   swap(a.sequence, b.sequence);
 }
 
-push_ack::push_ack(const push_ack& other418) noexcept {
-  token = other418.token;
-  sequence = other418.sequence;
+push_ack::push_ack(const push_ack& other442) noexcept {
+  token = other442.token;
+  sequence = other442.sequence;
 }
-push_ack::push_ack(push_ack&& other419) noexcept {
-  token = other419.token;
-  sequence = other419.sequence;
+push_ack::push_ack(push_ack&& other443) noexcept {
+  token = other443.token;
+  sequence = other443.sequence;
 }
-push_ack& push_ack::operator=(const push_ack& other420) noexcept {
-  token = other420.token;
-  sequence = other420.sequence;
+push_ack& push_ack::operator=(const push_ack& other444) noexcept {
+  token = other444.token;
+  sequence = other444.sequence;
   return *this;
 }
-push_ack& push_ack::operator=(push_ack&& other421) noexcept {
-  token = other421.token;
-  sequence = other421.sequence;
+push_ack& push_ack::operator=(push_ack&& other445) noexcept {
+  token = other445.token;
+  sequence = other445.sequence;
   return *this;
 }
 void push_ack::printTo(std::ostream& out) const {
@@ -5380,18 +5523,18 @@
   swap(a.token, b.token);
 }
 
-flow_keepalive::flow_keepalive(const flow_keepalive& other422) noexcept {
-  token = other422.token;
+flow_keepalive::flow_keepalive(const flow_keepalive& other446) noexcept {
+  token = other446.token;
 }
-flow_keepalive::flow_keepalive(flow_keepalive&& other423) noexcept {
-  token = other423.token;
+flow_keepalive::flow_keepalive(flow_keepalive&& other447) noexcept {
+  token = other447.token;
 }
-flow_keepalive& flow_keepalive::operator=(const flow_keepalive& other424) noexcept {
-  token = other424.token;
+flow_keepalive& flow_keepalive::operator=(const flow_keepalive& other448) noexcept {
+  token = other448.token;
   return *this;
 }
-flow_keepalive& flow_keepalive::operator=(flow_keepalive&& other425) noexcept {
-  token = other425.token;
+flow_keepalive& flow_keepalive::operator=(flow_keepalive&& other449) noexcept {
+  token = other449.token;
   return *this;
 }
 void flow_keepalive::printTo(std::ostream& out) const {
@@ -5421,18 +5564,18 @@
   swap(a.token, b.token);
 }
 
-flow_draining::flow_draining(const flow_draining& other426) noexcept {
-  token = other426.token;
+flow_draining::flow_draining(const flow_draining& other450) noexcept {
+  token = other450.token;
 }
-flow_draining::flow_draining(flow_draining&& other427) noexcept {
-  token = other427.token;
+flow_draining::flow_draining(flow_draining&& other451) noexcept {
+  token = other451.token;
 }
-flow_draining& flow_draining::operator=(const flow_draining& other428) noexcept {
-  token = other428.token;
+flow_draining& flow_draining::operator=(const flow_draining& other452) noexcept {
+  token = other452.token;
   return *this;
 }
-flow_draining& flow_draining::operator=(flow_draining&& other429) noexcept {
-  token = other429.token;
+flow_draining& flow_draining::operator=(flow_draining&& other453) noexcept {
+  token = other453.token;
   return *this;
 }
 void flow_draining::printTo(std::ostream& out) const {
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -91,8 +91,14 @@
 
 class segment_forward;
 
+class segment_question;
+
 class segment_query;
 
+class segment_answer;
+
+class segment_answers;
+
 class segment_report;
 
 class segment_load;
@@ -2403,36 +2409,76 @@
 std::ostream& operator<<(std::ostream& out, const segment_forward& obj);
 
 
+class segment_question {
+ public:
+
+  segment_question(const segment_question&) noexcept;
+  segment_question(segment_question&&) noexcept;
+  segment_question& operator=(const segment_question&) noexcept;
+  segment_question& operator=(segment_question&&) noexcept;
+  segment_question() noexcept
+                   : acknowledged(0) {
+  }
+
+  virtual ~segment_question() noexcept;
+  flow_key key;
+  int32_t acknowledged;
+
+  void __set_key(const flow_key& val);
+
+  void __set_acknowledged(const int32_t val);
+
+  bool operator == (const segment_question & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(acknowledged == rhs.acknowledged))
+      return false;
+    return true;
+  }
+  bool operator != (const segment_question &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const segment_question & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(segment_question &a, segment_question &b);
+
+std::ostream& operator<<(std::ostream& out, const segment_question& obj);
+
+
 class segment_query {
  public:
 
-  segment_query(const segment_query&) noexcept;
+  segment_query(const segment_query&);
   segment_query(segment_query&&) noexcept;
-  segment_query& operator=(const segment_query&) noexcept;
+  segment_query& operator=(const segment_query&);
   segment_query& operator=(segment_query&&) noexcept;
   segment_query() noexcept
-                : service_key(0),
-                  acknowledged(0) {
+                : service_key(0) {
   }
 
   virtual ~segment_query() noexcept;
-  flow_key key;
   int64_t service_key;
-  int32_t acknowledged;
-
-  void __set_key(const flow_key& val);
+  std::vector<segment_question>  flows;
 
   void __set_service_key(const int64_t val);
 
-  void __set_acknowledged(const int32_t val);
+  void __set_flows(const std::vector<segment_question> & val);
 
   bool operator == (const segment_query & rhs) const
   {
-    if (!(key == rhs.key))
-      return false;
     if (!(service_key == rhs.service_key))
       return false;
-    if (!(acknowledged == rhs.acknowledged))
+    if (!(flows == rhs.flows))
       return false;
     return true;
   }
@@ -2454,6 +2500,98 @@
 
 std::ostream& operator<<(std::ostream& out, const segment_query& obj);
 
+
+class segment_answer {
+ public:
+
+  segment_answer(const segment_answer&) noexcept;
+  segment_answer(segment_answer&&) noexcept;
+  segment_answer& operator=(const segment_answer&) noexcept;
+  segment_answer& operator=(segment_answer&&) noexcept;
+  segment_answer() noexcept
+                 : outcome(0) {
+  }
+
+  virtual ~segment_answer() noexcept;
+  flow_key key;
+  int8_t outcome;
+
+  void __set_key(const flow_key& val);
+
+  void __set_outcome(const int8_t val);
+
+  bool operator == (const segment_answer & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    return true;
+  }
+  bool operator != (const segment_answer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const segment_answer & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(segment_answer &a, segment_answer &b);
+
+std::ostream& operator<<(std::ostream& out, const segment_answer& obj);
+
+
+class segment_answers {
+ public:
+
+  segment_answers(const segment_answers&);
+  segment_answers(segment_answers&&) noexcept;
+  segment_answers& operator=(const segment_answers&);
+  segment_answers& operator=(segment_answers&&) noexcept;
+  segment_answers() noexcept
+                  : load_permille(0) {
+  }
+
+  virtual ~segment_answers() noexcept;
+  int32_t load_permille;
+  std::vector<segment_answer>  flows;
+
+  void __set_load_permille(const int32_t val);
+
+  void __set_flows(const std::vector<segment_answer> & val);
+
+  bool operator == (const segment_answers & rhs) const
+  {
+    if (!(load_permille == rhs.load_permille))
+      return false;
+    if (!(flows == rhs.flows))
+      return false;
+    return true;
+  }
+  bool operator != (const segment_answers &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const segment_answers & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(segment_answers &a, segment_answers &b);
+
+std::ostream& operator<<(std::ostream& out, const segment_answers& obj);
+
 typedef struct _segment_report__isset {
   _segment_report__isset() : sequence(false), reason(false), packet(false) {}
   bool sequence :1;
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -4201,7 +4201,7 @@
 }
 
 template <class Protocol_>
-uint32_t segment_query::read(Protocol_* iprot) {
+uint32_t segment_question::read(Protocol_* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4214,7 +4214,6 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_key = false;
-  bool isset_service_key = false;
   bool isset_acknowledged = false;
 
   while (true)
@@ -4234,6 +4233,73 @@
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->acknowledged);
+          isset_acknowledged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_acknowledged)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t segment_question::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("segment_question");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->acknowledged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t segment_query::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_key = false;
+  bool isset_flows = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->service_key);
           isset_service_key = true;
@@ -4241,10 +4307,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->acknowledged);
-          isset_acknowledged = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->flows.clear();
+            uint32_t _size240;
+            ::apache::thrift::protocol::TType _etype243;
+            xfer += iprot->readListBegin(_etype243, _size240);
+            this->flows.resize(_size240);
+            uint32_t _i244;
+            for (_i244 = 0; _i244 < _size240; ++_i244)
+            {
+              xfer += this->flows[_i244].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_flows = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4258,11 +4336,9 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_key)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_service_key)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_acknowledged)
+  if (!isset_flows)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
@@ -4273,16 +4349,190 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("segment_query");
 
+  xfer += oprot->writeFieldBegin("service_key", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->service_key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("flows", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->flows.size()));
+    std::vector<segment_question> ::const_iterator _iter245;
+    for (_iter245 = this->flows.begin(); _iter245 != this->flows.end(); ++_iter245)
+    {
+      xfer += (*_iter245).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t segment_answer::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_outcome = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->outcome);
+          isset_outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_outcome)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t segment_answer::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("segment_answer");
+
   xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->key.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("service_key", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->service_key);
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_BYTE, 2);
+  xfer += oprot->writeByte(this->outcome);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->acknowledged);
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t segment_answers::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_load_permille = false;
+  bool isset_flows = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->load_permille);
+          isset_load_permille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->flows.clear();
+            uint32_t _size254;
+            ::apache::thrift::protocol::TType _etype257;
+            xfer += iprot->readListBegin(_etype257, _size254);
+            this->flows.resize(_size254);
+            uint32_t _i258;
+            for (_i258 = 0; _i258 < _size254; ++_i258)
+            {
+              xfer += this->flows[_i258].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_flows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_load_permille)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_flows)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t segment_answers::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("segment_answers");
+
+  xfer += oprot->writeFieldBegin("load_permille", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->load_permille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("flows", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->flows.size()));
+    std::vector<segment_answer> ::const_iterator _iter259;
+    for (_iter259 = this->flows.begin(); _iter259 != this->flows.end(); ++_iter259)
+    {
+      xfer += (*_iter259).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4859,14 +5109,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size256;
-            ::apache::thrift::protocol::TType _etype259;
-            xfer += iprot->readListBegin(_etype259, _size256);
-            this->entries.resize(_size256);
-            uint32_t _i260;
-            for (_i260 = 0; _i260 < _size256; ++_i260)
+            uint32_t _size280;
+            ::apache::thrift::protocol::TType _etype283;
+            xfer += iprot->readListBegin(_etype283, _size280);
+            this->entries.resize(_size280);
+            uint32_t _i284;
+            for (_i284 = 0; _i284 < _size280; ++_i284)
             {
-              xfer += this->entries[_i260].read(iprot);
+              xfer += this->entries[_i284].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4944,10 +5194,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<log_entry> ::const_iterator _iter261;
-    for (_iter261 = this->entries.begin(); _iter261 != this->entries.end(); ++_iter261)
+    std::vector<log_entry> ::const_iterator _iter285;
+    for (_iter285 = this->entries.begin(); _iter285 != this->entries.end(); ++_iter285)
     {
-      xfer += (*_iter261).write(oprot);
+      xfer += (*_iter285).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5801,14 +6051,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size290;
-            ::apache::thrift::protocol::TType _etype293;
-            xfer += iprot->readListBegin(_etype293, _size290);
-            this->services.resize(_size290);
-            uint32_t _i294;
-            for (_i294 = 0; _i294 < _size290; ++_i294)
+            uint32_t _size314;
+            ::apache::thrift::protocol::TType _etype317;
+            xfer += iprot->readListBegin(_etype317, _size314);
+            this->services.resize(_size314);
+            uint32_t _i318;
+            for (_i318 = 0; _i318 < _size314; ++_i318)
             {
-              xfer += this->services[_i294].read(iprot);
+              xfer += this->services[_i318].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5821,14 +6071,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size295;
-            ::apache::thrift::protocol::TType _etype298;
-            xfer += iprot->readListBegin(_etype298, _size295);
-            this->targets.resize(_size295);
-            uint32_t _i299;
-            for (_i299 = 0; _i299 < _size295; ++_i299)
+            uint32_t _size319;
+            ::apache::thrift::protocol::TType _etype322;
+            xfer += iprot->readListBegin(_etype322, _size319);
+            this->targets.resize(_size319);
+            uint32_t _i323;
+            for (_i323 = 0; _i323 < _size319; ++_i323)
             {
-              xfer += this->targets[_i299].read(iprot);
+              xfer += this->targets[_i323].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5841,14 +6091,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size300;
-            ::apache::thrift::protocol::TType _etype303;
-            xfer += iprot->readListBegin(_etype303, _size300);
-            this->nodes.resize(_size300);
-            uint32_t _i304;
-            for (_i304 = 0; _i304 < _size300; ++_i304)
+            uint32_t _size324;
+            ::apache::thrift::protocol::TType _etype327;
+            xfer += iprot->readListBegin(_etype327, _size324);
+            this->nodes.resize(_size324);
+            uint32_t _i328;
+            for (_i328 = 0; _i328 < _size324; ++_i328)
             {
-              xfer += this->nodes[_i304].read(iprot);
+              xfer += this->nodes[_i328].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5861,14 +6111,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tombstones.clear();
-            uint32_t _size305;
-            ::apache::thrift::protocol::TType _etype308;
-            xfer += iprot->readListBegin(_etype308, _size305);
-            this->tombstones.resize(_size305);
-            uint32_t _i309;
-            for (_i309 = 0; _i309 < _size305; ++_i309)
+            uint32_t _size329;
+            ::apache::thrift::protocol::TType _etype332;
+            xfer += iprot->readListBegin(_etype332, _size329);
+            this->tombstones.resize(_size329);
+            uint32_t _i333;
+            for (_i333 = 0; _i333 < _size329; ++_i333)
             {
-              xfer += this->tombstones[_i309].read(iprot);
+              xfer += this->tombstones[_i333].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5881,14 +6131,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size310;
-            ::apache::thrift::protocol::TType _etype313;
-            xfer += iprot->readListBegin(_etype313, _size310);
-            this->routes.resize(_size310);
-            uint32_t _i314;
-            for (_i314 = 0; _i314 < _size310; ++_i314)
+            uint32_t _size334;
+            ::apache::thrift::protocol::TType _etype337;
+            xfer += iprot->readListBegin(_etype337, _size334);
+            this->routes.resize(_size334);
+            uint32_t _i338;
+            for (_i338 = 0; _i338 < _size334; ++_i338)
             {
-              xfer += this->routes[_i314].read(iprot);
+              xfer += this->routes[_i338].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5976,10 +6226,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<service_entry> ::const_iterator _iter315;
-    for (_iter315 = this->services.begin(); _iter315 != this->services.end(); ++_iter315)
+    std::vector<service_entry> ::const_iterator _iter339;
+    for (_iter339 = this->services.begin(); _iter339 != this->services.end(); ++_iter339)
     {
-      xfer += (*_iter315).write(oprot);
+      xfer += (*_iter339).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5988,10 +6238,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<target> ::const_iterator _iter316;
-    for (_iter316 = this->targets.begin(); _iter316 != this->targets.end(); ++_iter316)
+    std::vector<target> ::const_iterator _iter340;
+    for (_iter340 = this->targets.begin(); _iter340 != this->targets.end(); ++_iter340)
     {
-      xfer += (*_iter316).write(oprot);
+      xfer += (*_iter340).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6000,10 +6250,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<node> ::const_iterator _iter317;
-    for (_iter317 = this->nodes.begin(); _iter317 != this->nodes.end(); ++_iter317)
+    std::vector<node> ::const_iterator _iter341;
+    for (_iter341 = this->nodes.begin(); _iter341 != this->nodes.end(); ++_iter341)
     {
-      xfer += (*_iter317).write(oprot);
+      xfer += (*_iter341).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6012,10 +6262,10 @@
   xfer += oprot->writeFieldBegin("tombstones", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tombstones.size()));
-    std::vector<tombstone> ::const_iterator _iter318;
-    for (_iter318 = this->tombstones.begin(); _iter318 != this->tombstones.end(); ++_iter318)
+    std::vector<tombstone> ::const_iterator _iter342;
+    for (_iter342 = this->tombstones.begin(); _iter342 != this->tombstones.end(); ++_iter342)
     {
-      xfer += (*_iter318).write(oprot);
+      xfer += (*_iter342).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6025,10 +6275,10 @@
     xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-      std::vector<route_entry> ::const_iterator _iter319;
-      for (_iter319 = this->routes.begin(); _iter319 != this->routes.end(); ++_iter319)
+      std::vector<route_entry> ::const_iterator _iter343;
+      for (_iter343 = this->routes.begin(); _iter343 != this->routes.end(); ++_iter343)
       {
-        xfer += (*_iter319).write(oprot);
+        xfer += (*_iter343).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6105,14 +6355,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parents.clear();
-            uint32_t _size324;
-            ::apache::thrift::protocol::TType _etype327;
-            xfer += iprot->readListBegin(_etype327, _size324);
-            this->parents.resize(_size324);
-            uint32_t _i328;
-            for (_i328 = 0; _i328 < _size324; ++_i328)
+            uint32_t _size348;
+            ::apache::thrift::protocol::TType _etype351;
+            xfer += iprot->readListBegin(_etype351, _size348);
+            this->parents.resize(_size348);
+            uint32_t _i352;
+            for (_i352 = 0; _i352 < _size348; ++_i352)
             {
-              xfer += this->parents[_i328].read(iprot);
+              xfer += this->parents[_i352].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6190,10 +6440,10 @@
     xfer += oprot->writeFieldBegin("parents", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parents.size()));
-      std::vector<endpoint> ::const_iterator _iter329;
-      for (_iter329 = this->parents.begin(); _iter329 != this->parents.end(); ++_iter329)
+      std::vector<endpoint> ::const_iterator _iter353;
+      for (_iter353 = this->parents.begin(); _iter353 != this->parents.end(); ++_iter353)
       {
-        xfer += (*_iter329).write(oprot);
+        xfer += (*_iter353).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6758,14 +7008,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->children.clear();
-            uint32_t _size350;
-            ::apache::thrift::protocol::TType _etype353;
-            xfer += iprot->readListBegin(_etype353, _size350);
-            this->children.resize(_size350);
-            uint32_t _i354;
-            for (_i354 = 0; _i354 < _size350; ++_i354)
+            uint32_t _size374;
+            ::apache::thrift::protocol::TType _etype377;
+            xfer += iprot->readListBegin(_etype377, _size374);
+            this->children.resize(_size374);
+            uint32_t _i378;
+            for (_i378 = 0; _i378 < _size374; ++_i378)
             {
-              xfer += this->children[_i354].read(iprot);
+              xfer += this->children[_i378].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6841,10 +7091,10 @@
   xfer += oprot->writeFieldBegin("children", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->children.size()));
-    std::vector<child_report> ::const_iterator _iter355;
-    for (_iter355 = this->children.begin(); _iter355 != this->children.end(); ++_iter355)
+    std::vector<child_report> ::const_iterator _iter379;
+    for (_iter379 = this->children.begin(); _iter379 != this->children.end(); ++_iter379)
     {
-      xfer += (*_iter355).write(oprot);
+      xfer += (*_iter379).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7643,14 +7893,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size388;
-            ::apache::thrift::protocol::TType _etype391;
-            xfer += iprot->readListBegin(_etype391, _size388);
-            this->missing.resize(_size388);
-            uint32_t _i392;
-            for (_i392 = 0; _i392 < _size388; ++_i392)
+            uint32_t _size412;
+            ::apache::thrift::protocol::TType _etype415;
+            xfer += iprot->readListBegin(_etype415, _size412);
+            this->missing.resize(_size412);
+            uint32_t _i416;
+            for (_i416 = 0; _i416 < _size412; ++_i416)
             {
-              xfer += iprot->readI32(this->missing[_i392]);
+              xfer += iprot->readI32(this->missing[_i416]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7694,10 +7944,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->missing.size()));
-    std::vector<int32_t> ::const_iterator _iter393;
-    for (_iter393 = this->missing.begin(); _iter393 != this->missing.end(); ++_iter393)
+    std::vector<int32_t> ::const_iterator _iter417;
+    for (_iter417 = this->missing.begin(); _iter417 != this->missing.end(); ++_iter417)
     {
-      xfer += oprot->writeI32((*_iter393));
+      xfer += oprot->writeI32((*_iter417));
     }
     xfer += oprot->writeListEnd();
   }
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -296,13 +296,28 @@
 }
 
 // Balancer to every agent of a service: who holds the flow? Carries no segment, because there may be many agents.
+struct segment_question {
+  1: required flow_key key
+  2: required i32 acknowledged  // of the segment that is searched with
+}
+
 struct segment_query {
+  1: required i64 service_key
+  2: required list<segment_question> flows
+}
+
+// Agent to balancer: the answer to a query. `outcome` as in segment_report: 2, 4 or 5.
+struct segment_answer {
   1: required flow_key key
-  2: required i64 service_key
-  3: required i32 acknowledged  // of the segment that is searched with
+  2: required i8 outcome
+}
+
+struct segment_answers {
+  1: required i32 load_permille
+  2: required list<segment_answer> flows
 }
 
-// Agent to balancer: what became of a segment, or the answer to a query.
+// Agent to balancer: what became of a segment.
 // `outcome`: 1 the target offers to take the flow, 2 held here, 3 declined, 4 not held here, 5 only the target knows.
 struct segment_report {
   1: required flow_key key
