--- a/src/libperidotcleat/version/control_test.cpp
+++ b/src/libperidotcleat/version/control_test.cpp
@@ -71,8 +71,8 @@
     return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
 }
 
-// Guards against a leader that is cut off and confirms a table which another leader has changed since, and against
-// one that confirms before a quorum has answered.
+// Guards against a leader that is cut off and confirms a table which another leader has changed since, and
+// against one that confirms before a quorum has answered.
 TEST(control, a_table_is_confirmed_by_a_leader_with_a_quorum_only)
 {
     cluster_shape shape;
