Take a silent voter out only while the others answer

Traced: a leader of three voters takes out a silent one just after another has lost its disk; the log ends with a list of two voters, one of them lost.

--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -248,6 +248,7 @@
     void admit(time_point now, const joiner& j);
     void promote_learner(time_point now);
     void remove_silent_members(time_point now);
+    [[nodiscard]] bool others_answer(time_point now, const wire::member& gone) const;
     [[nodiscard]] const wire::member* find_ready_learner(time_point now) const;
     [[nodiscard]] const wire::member* find_silent(time_point now, bool voter,
                                                   std::chrono::milliseconds limit) const;
--- a/src/libperidotcleat/version/replica_members.cpp
+++ b/src/libperidotcleat/version/replica_members.cpp
@@ -171,11 +171,27 @@
     }
 }
 
+// True if every voter but `gone` has answered lately. The list without `gone` needs most of them, and if one
+// of two has just lost its disk, nobody can be elected any more.
+bool replica_core::others_answer(time_point now, const wire::member& gone) const
+{
+    return std::ranges::all_of(members(), [&](const wire::member& m) {
+        if (!m.voter || m.folder_id == gone.folder_id || m.folder_id == self()) {
+            return true;
+        }
+        const auto p = progress_.find(m.folder_id);
+        return p != progress_.end() && now - p->second.heard_at < 2 * settings_.timing.heartbeat;
+    });
+}
+
 // One change at a time: a silent voter leaves only while a member stands by that is made a voter next.
 void replica_core::remove_silent_members(time_point now)
 {
     const wire::member* gone =
         find_ready_learner(now) != nullptr ? find_silent(now, true, silence_before_succession) : nullptr;
+    if (gone != nullptr && !others_answer(now, *gone)) {
+        gone = nullptr;
+    }
     if (gone == nullptr) {
         gone = find_silent(now, false, silence_before_removal);
     }
