Give a replacement its vote before a silent voter is removed

The leader removed a silent voter first and gave the ready learner its vote in the next change. In between, the list had two voters; one was lost, and the silent one, which was only cut off, no longer counted. Ruled out: the test's limit on wiped disks (it wipes none of a list whose majority would go). Change: a learner gets its vote while all voters but the silent one answer; the silent one goes when there is one voter more than required.

--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -253,6 +253,9 @@
     void add_learner(time_point now, const joiner& j);
     void maintain_members(time_point now);
     void remove_silent_member(time_point now);
+    [[nodiscard]] const wire::member* find_replaceable_voter(time_point now) const;
+    [[nodiscard]] bool needs_another_voter(time_point now) const;
+    [[nodiscard]] std::ptrdiff_t count_voters() const;
     [[nodiscard]] bool other_voters_respond(time_point now, const wire::member& silent_voter) const;
     [[nodiscard]] const wire::member* find_ready_learner(time_point now) const;
     [[nodiscard]] const wire::member* find_silent_member(time_point now, bool voter,
--- a/src/libperidotcleat/version/replica_members.cpp
+++ b/src/libperidotcleat/version/replica_members.cpp
@@ -162,9 +162,7 @@
         return;
     }
     const wire::member* ready = find_ready_learner(now);
-    const auto voters = std::ranges::count_if(members(), [](const wire::member& m) { return m.voter; });
-    if (ready != nullptr &&
-        (settings_.voter_count == 0 || voters < static_cast<std::ptrdiff_t>(settings_.voter_count))) {
+    if (ready != nullptr && needs_another_voter(now)) {
         wire::member_list list = log_.members();
         for (wire::member& m : list.members) {
             m.voter = m.voter || m.folder_id == ready->folder_id;
@@ -175,6 +173,29 @@
     }
 }
 
+// Returns the first voter that is silent for so long that another member replaces it, or null.
+const wire::member* replica_core::find_replaceable_voter(time_point now) const
+{
+    const wire::member* silent_voter = find_silent_member(now, true, silence_before_voter_removal);
+    return silent_voter != nullptr && other_voters_respond(now, *silent_voter) ? silent_voter : nullptr;
+}
+
+// A silent voter is removed only after its replacement has its vote. With the opposite order, the list would
+// have one voter less in between, and the loss of a disk then would leave no majority although the silent
+// voter, which was only cut off, comes back.
+bool replica_core::needs_another_voter(time_point now) const
+{
+    const auto voters = count_voters();
+    const auto required = static_cast<std::ptrdiff_t>(settings_.voter_count);
+    return required == 0 || voters < required ||
+           (voters == required && find_replaceable_voter(now) != nullptr);
+}
+
+std::ptrdiff_t replica_core::count_voters() const
+{
+    return std::ranges::count_if(members(), [](const wire::member& m) { return m.voter; });
+}
+
 // Returns true if every voter except `silent_voter` has replied recently. The member list without it needs a
 // majority of the remaining voters: if two remain and one of them has just lost its disk, no leader can be
 // elected any more.
@@ -189,16 +210,12 @@
     });
 }
 
-// Removes at most one member per change. A silent voter is removed only while a learner is ready to be
-// promoted to voter next.
+// Removes at most one member per change. A silent voter is removed only if enough other voters remain.
 void replica_core::remove_silent_member(time_point now)
 {
-    const wire::member* silent_member = find_ready_learner(now) != nullptr
-                                            ? find_silent_member(now, true, silence_before_voter_removal)
+    const wire::member* silent_member = count_voters() > static_cast<std::ptrdiff_t>(settings_.voter_count)
+                                            ? find_replaceable_voter(now)
                                             : nullptr;
-    if (silent_member != nullptr && !other_voters_respond(now, *silent_member)) {
-        silent_member = nullptr;
-    }
     if (silent_member == nullptr) {
         silent_member = find_silent_member(now, false, silence_before_learner_removal);
     }
