Let agents pass on new flows while no slot is free

Cause: a front chose the least loaded target by reports of 80 ms (median) of age, and all 17 fronts held the same ones. The reported load was mostly a count of flows that had ended up to 3 s before. Change: target_choice takes the better of two random targets of the zone or of other zones. The agent, which knows the outstanding requests, declines while no slot is free; after five such answers the flow goes to the queue of the least loaded one, and is reset at once if two of these are full. Ended flows count less in the load. Reports are spaced by the number of fronts.

--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -3,10 +3,12 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 #include "peridotcleat/counters.h"
 #include "peridotcleat/hash.h"
@@ -90,6 +92,8 @@
         // The caller has sent data that the target has not begun to answer.
         bool busy = false;
         time_point busy_since;
+        // The target is expected to get the first request of this new flow soon.
+        bool reserved = false;
         // The target has closed the flow, or one end has reset it.
         bool closing = false;
         // A segment was delivered to find out whether the target holds the flow; the target has not reacted
@@ -119,7 +123,16 @@
     wire::segment_report make_report(const flow_key& key, segment_outcome outcome) const;
     void send_load(time_point now, outbox& out);
     [[nodiscard]] std::int32_t load_permille() const;
+    [[nodiscard]] std::int32_t outstanding_permille() const;
+    [[nodiscard]] std::chrono::milliseconds report_interval() const;
+    void sample_load(time_point now);
+    void decline(const endpoint& to, const segment& s, std::string_view packet, error_code reason,
+                 outbox& out);
     void set_busy(flow& f, bool busy);
+    void set_reserved(flow& f, bool reserved);
+    void set_closing(flow& f);
+    void release_reservations(time_point now);
+    void forget_flows();
     void erase(flow_map::iterator it);
 
     segment_agent_settings settings_;
@@ -136,12 +149,17 @@
     bool stopping_ = false;
     flow_map flows_;
     std::size_t busy_flows_ = 0;
-    // Average number of busy flows over about the last second.
-    double busy_flows_average_ = 0;
-    // New flows since the last periodic load report.
-    std::size_t openings_since_report_ = 0;
-    // Number of new flows before the last periodic load report, with exponential decay.
-    double recent_openings_ = 0;
+    std::size_t reserved_flows_ = 0;
+    std::size_t closing_flows_ = 0;
+    // New flows with the time at which their reservations end, in order of time.
+    std::deque<std::pair<time_point, flow_key>> reservations_;
+    // Average number of outstanding requests over about the last second.
+    double outstanding_average_ = 0;
+    // Sum over the open flows at the last sample, where each counts less the older it is.
+    double young_flows_ = 0;
+    // New flows since the last sample.
+    std::size_t openings_since_sample_ = 0;
+    time_point last_sample_;
     // Time of the earliest opening packet since which the target has sent nothing.
     std::optional<time_point> unanswered_since_;
     // Time at which the latest new flow was passed to the target.
--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -17,6 +17,7 @@
 #include "peridotcleat/flow_routes.h"
 #include "peridotcleat/outbox.h"
 #include "peridotcleat/segment.h"
+#include "peridotcleat/target_choice.h"
 
 namespace peridotcleat {
 
@@ -72,16 +73,6 @@
     // Queries that may be sent at once, where each pair of a flow and a target counts as one query.
     static constexpr double query_burst = 1000;
 
-    // One target to which the opening packet of a flow was sent.
-    struct placement_attempt {
-        endpoint agent;
-        time_point sent_at;
-        bool offered = false;
-        bool declined = false;
-        // First sequence number of the target, from its offer.
-        std::uint32_t sequence = 0;
-    };
-
     // A search for the holder of a flow.
     struct search {
         time_point started;
@@ -113,28 +104,12 @@
         std::string packet;
     };
 
-    // What is known of one agent and its target besides the table.
-    struct agent_state {
-        // Reported load, in thousandths of a slot.
-        std::int32_t reported_permille = 0;
-        // Flows that were placed there since the last report.
-        std::int32_t placed_since_report = 0;
-        time_point last_report;
-        bool accepting = true;
-        // Time of the earliest placement to which the agent has not reacted; set anew when a lost agent is
-        // tried again.
-        std::optional<time_point> unanswered_since;
-        // Whether the agent was last logged as lost.
-        bool logged_lost = false;
-    };
-
     using flow_map = std::unordered_map<flow_key, flow, flow_key_hash>;
 
     void queue_early_packet(time_point now, const segment& s, std::string_view packet);
     void on_opening_packet(time_point now, const segment& s, std::string_view packet, outbox& out);
     void on_subsequent_packet(time_point now, const segment& s, std::string_view packet, outbox& out);
     void on_report(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
-    void log_agent_changes(time_point now);
     void on_offered(time_point now, const flow_key& key, const endpoint& from, std::uint32_t sequence);
     void on_held(time_point now, const flow_key& key, const endpoint& from, outbox& out);
     void on_declined(time_point now, const endpoint& from, const wire::segment_report& report, outbox& out);
@@ -145,7 +120,6 @@
                       std::vector<endpoint> absent);
     void continue_search(time_point now, const flow_key& key, flow& f, std::string_view packet);
     void queue_queries(const flow_key& key, const flow& f);
-    void record_contact(time_point now, const endpoint& from, std::int32_t load_permille);
     void on_answers(time_point now, const endpoint& from, const wire::segment_answers& answers, outbox& out);
     void on_unsure(const flow_key& key, const endpoint& from, outbox& out);
     void reset_missing_flow(time_point now, flow_map::iterator it, outbox& out);
@@ -156,12 +130,10 @@
     [[nodiscard]] bool is_full_for(const flow_key& key) const;
     [[nodiscard]] static bool contains(const std::vector<endpoint>& list, const endpoint& e);
     [[nodiscard]] const flow_service* service_of(const flow_key& key, std::int64_t key_of_service) const;
-    [[nodiscard]] const flow_target* best_candidate(time_point now, const flow_service& service,
-                                                    const flow& f) const;
-    [[nodiscard]] std::int64_t cost_of(time_point now, const flow_target& target) const;
     [[nodiscard]] static std::optional<endpoint> holder_by_sequence(const flow& f, std::uint32_t ack_number);
     void forward(const endpoint& agent, std::int64_t key_of_service, segment_purpose purpose,
-                 std::string_view packet, outbox& out) const;
+                 std::string_view packet, outbox& out,
+                 std::optional<std::int32_t> max_outstanding_permille = std::nullopt) const;
     void send_reset(const flow_key& key, std::uint32_t sequence, error_code reason, outbox& out);
     flow& find_or_add_flow(time_point now, const flow_key& key);
 
@@ -183,8 +155,7 @@
     std::map<std::pair<endpoint, std::int64_t>, std::vector<wire::segment_question>> pending_questions_;
     // Flows with a search whose outcome is checked on each tick; some may have been found or forgotten.
     std::vector<flow_key> searched_flows_;
-    // States by the `route_number` of the agent's address.
-    std::unordered_map<std::int64_t, agent_state> agent_states_;
+    target_choice target_choice_;
     time_point last_cleanup_;
 };
 
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -1,6 +1,7 @@
 #include "peridotcleat/segment_agent.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "peridotcleat/log.h"
@@ -12,7 +13,10 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds load_report_interval{200};
+constexpr milliseconds min_report_interval{200};
+// Load reports of an agent to each of its balancers are this far apart for each balancer, so that the reports
+// that a balancer gets do not grow with the number of balancers.
+constexpr milliseconds report_interval_per_balancer{20};
 constexpr milliseconds cleanup_interval{1000};
 // Balancers that have sent nothing for longer get no load reports.
 constexpr milliseconds balancer_timeout{5000};
@@ -29,16 +33,24 @@
 constexpr milliseconds target_answer_timeout{300};
 // Interval at which a target that does not answer gets a new flow as a test.
 constexpr milliseconds silent_target_retry{500};
-// Weight of the newest sample in the average of busy flows; with `load_report_interval` the average covers
-// about a second.
-constexpr double busy_sample_weight = 0.2;
-// Factor by which the weight of recent openings decreases from one periodic load report to the next, so that
-// an opening has lost four fifths of its weight after two seconds.
-constexpr double recent_opening_decay = 0.85;
-// Load that a recent opening adds because the use of the flow is not known yet, in thousandths of a slot.
-constexpr double recent_opening_permille = 100;
-// Load that each known flow adds, in thousandths of a slot.
+constexpr milliseconds load_sample_interval{200};
+// Weight of the newest sample in the average of outstanding requests; the average covers about a second.
+constexpr double load_sample_weight = 0.2;
+// Factor by which the weight of a young flow decreases from one sample to the next, so that it has lost four
+// fifths of its weight after two seconds.
+constexpr double young_flow_decay = 0.85;
+// Older flows have no weight.
+constexpr milliseconds young_flow_age{5000};
+// Load that a young flow adds because its use is not known yet, in thousandths of a slot.
+constexpr double young_flow_permille = 100;
+// Part of this load that a young flow adds after its end. Without it, a target that fails all requests at once
+// would seem idle and attract the flows.
+constexpr double ended_flow_weight = 0.4;
+// Load that each open flow adds, in thousandths of a slot.
 constexpr double open_flow_permille = 30;
+// The first request of a new flow arrives within a few round trips. A flow whose caller accepts the offer of
+// another target never has one.
+constexpr milliseconds reservation_time{100};
 // Load that is added for a slow target during its warm-up, in thousandths of a slot for each of its slots.
 constexpr double cold_target_permille = 300;
 
@@ -68,8 +80,7 @@
                   {{"id", a.id},
                    {"started_ms", a.started_ms},
                    {"flows", static_cast<std::int64_t>(flows_.size())}});
-        flows_.clear();
-        busy_flows_ = 0;
+        forget_flows();
         flows_known_since_ = now - settings_.max_flow_age - in_flight_margin;
     }
     // An agent accepts no flow before it has acknowledged an announcement, so a target holds no flow at its
@@ -100,8 +111,7 @@
 {
     log_event(log_level::info, "target_left", {{"flows", static_cast<std::int64_t>(flows_.size())}});
     target_.reset();
-    flows_.clear();
-    busy_flows_ = 0;
+    forget_flows();
     flows_known_since_ = now - settings_.max_flow_age - in_flight_margin;
     send_load(now, out);
 }
@@ -242,26 +252,30 @@
 {
     const auto known = flows_.find(s.key);
     if (known == flows_.end()) {
-        if (const auto reason = refusal_reason(now)) {
-            counted_->count_refusal(*reason);
+        auto reason = refusal_reason(now);
+        if (!reason && m.__isset.max_outstanding && outstanding_permille() >= m.max_outstanding) {
+            reason = error_code::no_slot;
+        }
+        if (reason) {
             log_event(log_level::info, "flow_refused",
                       {{"flow", to_string(s.key)},
                        {"reason", to_string(*reason)},
+                       {"outstanding_permille", std::int64_t{outstanding_permille()}},
+                       {"max_outstanding_permille", std::int64_t{m.max_outstanding}},
                        {"announced_ms", announcement_age_ms(now)}});
-            auto report = make_report(s.key, segment_outcome::declined);
-            report.__set_reason(static_cast<std::int16_t>(*reason));
-            report.__set_packet(m.packet);
-            out.send(from, std::move(report));
+            decline(from, s, m.packet, *reason, out);
             return;
         }
         last_new_flow_ = now;
-        ++openings_since_report_;
+        ++openings_since_sample_;
     }
     flow& f = flows_[s.key];
     f.balancer = from;
     f.last_used = now;
     if (known == flows_.end()) {
         f.first_seen = now;
+        set_reserved(f, true);
+        reservations_.emplace_back(now + reservation_time, s.key);
     }
     if (!unanswered_since_) {
         unanswered_since_ = now;
@@ -270,6 +284,20 @@
     deliver(m.packet, out);
 }
 
+// Reports to a balancer that the target does not accept a new flow.
+void segment_agent::decline(const endpoint& to, const segment& s, std::string_view packet, error_code reason,
+                            outbox& out)
+{
+    counted_->count_refusal(reason);
+    auto report = make_report(s.key, segment_outcome::declined);
+    report.__set_reason(static_cast<std::int16_t>(reason));
+    report.__set_packet(std::string(packet));
+    if (reason == error_code::no_slot) {
+        report.__set_outstanding(outstanding_permille());
+    }
+    out.send(to, std::move(report));
+}
+
 void segment_agent::on_subsequent_segment(time_point now, const endpoint& from, const segment& s,
                                           const wire::segment_forward& m, outbox& out)
 {
@@ -305,11 +333,14 @@
                    {"flows", static_cast<std::int64_t>(flows_.size())},
                    {"load_permille", std::int64_t{load_permille()}}});
     }
-    if (s.length > 0) {
+    if (s.length > 0 && !f.closing) {
         f.busy_since = f.busy ? f.busy_since : now;
+        set_reserved(f, false);
         set_busy(f, true);
     }
-    f.closing = f.closing || s.resets;
+    if (s.resets) {
+        set_closing(f);
+    }
     deliver(m.packet, out);
     if (is_search) {
         out.send(from, make_report(s.key, segment_outcome::held));
@@ -329,9 +360,49 @@
     }
 }
 
+void segment_agent::set_reserved(flow& f, bool reserved)
+{
+    if (f.reserved != reserved) {
+        f.reserved = reserved;
+        reserved_flows_ += reserved ? 1 : -1;
+    }
+}
+
+void segment_agent::set_closing(flow& f)
+{
+    if (!f.closing) {
+        f.closing = true;
+        ++closing_flows_;
+        set_busy(f, false);
+        set_reserved(f, false);
+    }
+}
+
+// Ends the reservations of new flows whose callers have sent no request in time.
+void segment_agent::release_reservations(time_point now)
+{
+    while (!reservations_.empty() && reservations_.front().first <= now) {
+        if (const auto it = flows_.find(reservations_.front().second); it != flows_.end()) {
+            set_reserved(it->second, false);
+        }
+        reservations_.pop_front();
+    }
+}
+
+void segment_agent::forget_flows()
+{
+    flows_.clear();
+    reservations_.clear();
+    busy_flows_ = 0;
+    reserved_flows_ = 0;
+    closing_flows_ = 0;
+}
+
 void segment_agent::erase(flow_map::iterator it)
 {
     set_busy(it->second, false);
+    set_reserved(it->second, false);
+    closing_flows_ -= it->second.closing ? 1 : 0;
     flows_.erase(it);
     counted_->add(event::flows_closed);
 }
@@ -385,10 +456,10 @@
                              std::chrono::duration_cast<std::chrono::microseconds>(now - f.busy_since));
         }
         set_busy(f, false);
+        set_reserved(f, false);
     }
     if (s.finishes || s.resets) {
-        f.closing = true;
-        set_busy(f, false);
+        set_closing(f);
     }
 }
 
@@ -408,12 +479,8 @@
                {"opened", f.opened ? "true" : "false"},
                {"age_ms", std::chrono::duration_cast<milliseconds>(now - f.first_seen).count()}});
     if (s.opens) {
-        counted_->count_refusal(error_code::shed_by_upstream);
-        auto report = make_report(s.key, segment_outcome::declined);
-        report.__set_reason(static_cast<std::int16_t>(error_code::shed_by_upstream));
-        report.__set_packet(original);
         if (f.balancer.valid()) {
-            out.send(f.balancer, std::move(report));
+            decline(f.balancer, s, original, error_code::shed_by_upstream, out);
         }
     } else if (f.opened && !f.closing) {
         // The target held the flow before and no longer does, so no target holds it.
@@ -443,15 +510,44 @@
 
 std::int32_t segment_agent::load_permille() const
 {
-    double load =
-        (busy_flows_average_ * 1000) + (static_cast<double>(flows_.size()) * open_flow_permille) +
-        ((recent_openings_ + static_cast<double>(openings_since_report_)) * recent_opening_permille);
+    double load = (outstanding_average_ * 1000) +
+                  (static_cast<double>(flows_.size() - closing_flows_) * open_flow_permille) +
+                  ((young_flows_ + static_cast<double>(openings_since_sample_)) * young_flow_permille);
     if (target_ && last_announcement_ < warmup_end_) {
         load += cold_target_permille * target_->slots;
     }
     return static_cast<std::int32_t>(std::min(load, 1e9));
 }
 
+// Returns the requests that the target has to serve at this moment, in thousandths for each of its slots.
+std::int32_t segment_agent::outstanding_permille() const
+{
+    const std::size_t slots = target_ ? std::max<std::size_t>(target_->slots, 1) : 1;
+    return static_cast<std::int32_t>((busy_flows_ + reserved_flows_) * 1000 / slots);
+}
+
+milliseconds segment_agent::report_interval() const
+{
+    const auto balancers = static_cast<std::int64_t>(balancers_last_heard_.size());
+    return std::max(min_report_interval, report_interval_per_balancer * balancers);
+}
+
+void segment_agent::sample_load(time_point now)
+{
+    last_sample_ = now;
+    outstanding_average_ +=
+        load_sample_weight * (static_cast<double>(busy_flows_ + reserved_flows_) - outstanding_average_);
+    openings_since_sample_ = 0;
+    young_flows_ = 0;
+    for (const auto& [key, f] : flows_) {
+        if (now - f.first_seen < young_flow_age) {
+            const std::chrono::duration<double> age = now - f.first_seen;
+            young_flows_ +=
+                std::pow(young_flow_decay, age / load_sample_interval) * (f.closing ? ended_flow_weight : 1);
+        }
+    }
+}
+
 void segment_agent::send_load(time_point now, outbox& out)
 {
     wire::segment_load m;
@@ -465,13 +561,13 @@
 
 void segment_agent::on_tick(time_point now, outbox& out)
 {
-    if (now - last_load_report_ >= load_report_interval) {
-        last_load_report_ = now;
+    release_reservations(now);
+    if (now - last_sample_ >= load_sample_interval) {
         log_admission_change(now);
-        busy_flows_average_ += busy_sample_weight * (static_cast<double>(busy_flows_) - busy_flows_average_);
-        recent_openings_ =
-            (recent_openings_ * recent_opening_decay) + static_cast<double>(openings_since_report_);
-        openings_since_report_ = 0;
+        sample_load(now);
+    }
+    if (now - last_load_report_ >= report_interval()) {
+        last_load_report_ = now;
         std::erase_if(balancers_last_heard_,
                       [now](const auto& b) { return now - b.second > balancer_timeout; });
         send_load(now, out);
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -17,38 +17,25 @@
 // A quarter of a million flows take 60 MB. While the cache is full, no further flow is placed or searched
 // for.
 constexpr std::size_t max_flows = 250'000;
-// An agent answers a placement within one round trip between zones. After this time without an answer it
-// counts as lost until it sends a message; callers have not yet resent their opening packet by then.
-constexpr milliseconds placement_timeout{120};
-// A lost agent gets a placement again after this time, because it may have had nothing to send.
-constexpr milliseconds lost_agent_retry{2000};
 // A table below this age counts as current: what it does not contain does not exist.
 constexpr milliseconds max_fresh_table_age{1500};
-// Load of a flow that was placed and is not in the target's report yet, in thousandths of a slot.
-constexpr std::int32_t placed_permille = 150;
-// A target that refuses flows gets a placement again after this time without a report.
-constexpr milliseconds refusal_retry{1000};
 // Number of packets that are kept while there is no table: those of half a second at 32,000 new flows a
 // second over 10 balancers, which take 60 KB if they are opening packets.
 constexpr std::size_t max_early_packets = 1600;
 // Packets that have waited for longer are dropped; a caller gives up an opening packet 1.4 s after it has
 // sent the first copy.
 constexpr milliseconds early_packet_timeout{1200};
-// Added to the cost of a target that is lost or refuses flows, so that every other target costs less.
-constexpr std::int64_t unavailable_cost = 1'000'000;
 
 std::chrono::microseconds as_microseconds(clock::duration d)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(d);
 }
 
-std::int64_t agent_key(const endpoint& e) { return route_number(e); }
-
 }  // namespace
 
 segment_balancer::segment_balancer(segment_balancer_settings settings, counters& counted)
     : settings_(std::move(settings)), counted_(&counted), routes_(std::make_shared<flow_routes>()),
-      query_budget_(query_burst)
+      query_budget_(query_burst), target_choice_(settings_.zone, settings_.zone_penalty_permille)
 {
 }
 
@@ -173,50 +160,15 @@
     return it == route->backends.end() ? nullptr : it->service.get();
 }
 
-std::int64_t segment_balancer::cost_of(time_point now, const flow_target& target) const
-{
-    const std::int64_t zone_penalty = target.zone == settings_.zone ? 0 : settings_.zone_penalty_permille;
-    const auto it = agent_states_.find(agent_key(target.agent));
-    if (it == agent_states_.end()) {
-        return zone_penalty;
-    }
-    const agent_state& state = it->second;
-    const bool lost = state.unanswered_since && now - *state.unanswered_since > placement_timeout &&
-                      now - *state.unanswered_since < lost_agent_retry;
-    const bool refusing = !state.accepting && now - state.last_report < refusal_retry;
-    const std::int64_t load = (state.reported_permille + (state.placed_since_report * placed_permille)) /
-                              std::max<std::int64_t>(target.slots, 1);
-    return load + zone_penalty + (lost || refusing ? unavailable_cost : 0);
-}
-
-const flow_target* segment_balancer::best_candidate(time_point now, const flow_service& service,
-                                                    const flow& f) const
-{
-    const flow_target* best = nullptr;
-    std::int64_t best_cost = 0;
-    for (const flow_target& t : service.targets) {
-        const bool tried =
-            std::ranges::find(f.placements, t.agent, &placement_attempt::agent) != f.placements.end();
-        if (t.draining || tried) {
-            continue;
-        }
-        const std::int64_t cost = cost_of(now, t);
-        if (best == nullptr || cost < best_cost) {
-            best = &t;
-            best_cost = cost;
-        }
-    }
-    return best;
-}
-
 // Sends the opening packet to the next candidate. Targets that got it before may still offer to accept the
 // flow: the caller accepts only the first offer.
 void segment_balancer::place(time_point now, const flow_key& key, flow& f, std::string_view packet,
                              outbox& out)
 {
     const flow_service* service = service_of(key, f.service_key);
-    const flow_target* target = service == nullptr ? nullptr : best_candidate(now, *service, f);
-    if (target == nullptr) {
+    const auto choice =
+        service == nullptr ? std::nullopt : target_choice_.choose(now, key, *service, f.placements);
+    if (!choice) {
         const auto pending_attempt =
             std::ranges::find_if(f.placements, [](const placement_attempt& p) { return !p.declined; });
         if (pending_attempt != f.placements.end()) {
@@ -229,23 +181,23 @@
         flows_.erase(key);
         return;
     }
-    agent_state& state = agent_states_[agent_key(target->agent)];
-    ++state.placed_since_report;
-    if (!state.unanswered_since || now - *state.unanswered_since >= lost_agent_retry) {
-        state.unanswered_since = now;
-    }
+    const endpoint agent = choice->target->agent;
+    const auto [load_permille, reported_at] = target_choice_.reported_load(agent);
+    target_choice_.on_placed(now, agent);
     log_event(log_level::info, "flow_placed",
               {{"flow", to_string(key)},
                {"service", service->name},
-               {"agent", to_string(target->agent)},
+               {"agent", to_string(agent)},
                {"attempt", static_cast<std::int64_t>(f.placements.size()) + 1},
-               {"load_permille", std::int64_t{state.reported_permille}},
-               {"load_age_ms", std::chrono::duration_cast<milliseconds>(now - state.last_report).count()},
+               {"may_queue", choice->may_queue ? "true" : "false"},
+               {"load_permille", std::int64_t{load_permille}},
+               {"load_age_ms", std::chrono::duration_cast<milliseconds>(now - reported_at).count()},
                {"version", routes_->version()},
                {"table_age_ms", table_age_.count()}});
-    f.placements.push_back({target->agent, now, false, false, 0});
+    std::erase_if(f.placements, [&](const placement_attempt& p) { return p.agent == agent; });
+    f.placements.push_back({agent, now, false, false, choice->may_queue, 0, std::nullopt});
     counted_->add(event::flows_offered);
-    forward(target->agent, f.service_key, segment_purpose::place, packet, out);
+    forward(agent, f.service_key, segment_purpose::place, packet, out, choice->max_outstanding_permille);
 }
 
 std::optional<endpoint> segment_balancer::holder_by_sequence(const flow& f, std::uint32_t ack_number)
@@ -296,32 +248,23 @@
 void segment_balancer::on_message(time_point now, const endpoint& from, const message& m, outbox& out)
 {
     if (const auto* report = std::get_if<wire::segment_report>(&m)) {
-        record_contact(now, from, report->load_permille);
+        target_choice_.on_load(now, from, report->load_permille);
         on_report(now, from, *report, out);
     } else if (const auto* answers = std::get_if<wire::segment_answers>(&m)) {
-        record_contact(now, from, answers->load_permille);
+        target_choice_.on_load(now, from, answers->load_permille);
         on_answers(now, from, *answers, out);
     } else if (const auto* load = std::get_if<wire::segment_load>(&m)) {
-        agent_state& state = agent_states_[agent_key(from)];
-        state = {load->load_permille, 0, now, load->accepting, std::nullopt, state.logged_lost};
+        target_choice_.on_load(now, from, load->load_permille);
+        target_choice_.set_accepting(from, load->accepting);
     }
 }
 
-void segment_balancer::record_contact(time_point now, const endpoint& from, std::int32_t load_permille)
-{
-    agent_state& state = agent_states_[agent_key(from)];
-    state.unanswered_since.reset();
-    state.reported_permille = load_permille;
-    state.last_report = now;
-    state.placed_since_report = 0;
-}
-
 void segment_balancer::on_report(time_point now, const endpoint& from, const wire::segment_report& report,
                                  outbox& out)
 {
     switch (static_cast<segment_outcome>(report.outcome)) {
     case segment_outcome::offered:
-        agent_states_[agent_key(from)].accepting = true;
+        target_choice_.set_accepting(from, true);
         on_offered(now, from_wire(report.key), from, static_cast<std::uint32_t>(report.sequence));
         break;
     case segment_outcome::held: on_held(now, from_wire(report.key), from, out); break;
@@ -383,7 +326,8 @@
     counted_->add(event::flows_offer_declined);
     counted_->count_retry(reason);
     const flow_key key = from_wire(report.key);
-    agent_states_[agent_key(from)].accepting = false;
+    // A target without a free slot accepts flows that may wait.
+    target_choice_.set_accepting(from, reason == error_code::no_slot);
     log_event(log_level::info, "flow_declined",
               {{"flow", to_string(key)}, {"agent", to_string(from)}, {"reason", to_string(reason)}});
     const auto it = flows_.find(key);
@@ -396,6 +340,9 @@
         return;
     }
     p->declined = true;
+    if (report.__isset.outstanding) {
+        p->outstanding_permille = report.outstanding;
+    }
     const bool offered = std::ranges::any_of(f.placements, &placement_attempt::offered);
     if (!offered && report.__isset.packet) {
         place(now, key, f, report.packet, out);
@@ -437,12 +384,16 @@
 }
 
 void segment_balancer::forward(const endpoint& agent, std::int64_t key_of_service, segment_purpose purpose,
-                               std::string_view packet, outbox& out) const
+                               std::string_view packet, outbox& out,
+                               std::optional<std::int32_t> max_outstanding_permille) const
 {
     wire::segment_forward m;
     m.packet = std::string(packet);
     m.service_key = key_of_service;
     m.purpose = static_cast<std::int8_t>(purpose);
+    if (max_outstanding_permille) {
+        m.__set_max_outstanding(*max_outstanding_permille);
+    }
     counted_->add(event::packets_forwarded);
     out.send(agent, std::move(m));
 }
@@ -474,25 +425,7 @@
     }
     const auto cache_time = settings_.max_flow_age + in_flight_margin;
     std::erase_if(flows_, [=](const auto& item) { return now - item.second.last_used > cache_time; });
-    log_agent_changes(now);
-    std::erase_if(agent_states_, [=](const auto& item) {
-        return now - item.second.last_report > cache_time && !item.second.unanswered_since;
-    });
-}
-
-// Logs agents that have ceased to answer placements, and those that answer again.
-void segment_balancer::log_agent_changes(time_point now)
-{
-    for (auto& [agent, state] : agent_states_) {
-        const bool lost = state.unanswered_since && now - *state.unanswered_since > placement_timeout;
-        if (lost == state.logged_lost) {
-            continue;
-        }
-        state.logged_lost = lost;
-        log_event(lost ? log_level::warning : log_level::info, lost ? "agent_lost" : "agent_regained",
-                  {{"agent", to_string(route_address(agent))},
-                   {"heard_ms", std::chrono::duration_cast<milliseconds>(now - state.last_report).count()}});
-    }
+    target_choice_.on_cleanup(now, cache_time);
 }
 
 }  // namespace peridotcleat
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -2686,6 +2686,11 @@
 void segment_forward::__set_purpose(const int8_t val) {
   this->purpose = val;
 }
+
+void segment_forward::__set_max_outstanding(const int32_t val) {
+  this->max_outstanding = val;
+__isset.max_outstanding = true;
+}
 std::ostream& operator<<(std::ostream& out, const segment_forward& obj)
 {
   obj.printTo(out);
@@ -2698,28 +2703,38 @@
   swap(a.packet, b.packet);
   swap(a.service_key, b.service_key);
   swap(a.purpose, b.purpose);
+  swap(a.max_outstanding, b.max_outstanding);
+  swap(a.__isset, b.__isset);
 }
 
 segment_forward::segment_forward(const segment_forward& other232) {
   packet = other232.packet;
   service_key = other232.service_key;
   purpose = other232.purpose;
+  max_outstanding = other232.max_outstanding;
+  __isset = other232.__isset;
 }
 segment_forward::segment_forward(segment_forward&& other233) noexcept {
   packet = std::move(other233.packet);
   service_key = other233.service_key;
   purpose = other233.purpose;
+  max_outstanding = other233.max_outstanding;
+  __isset = other233.__isset;
 }
 segment_forward& segment_forward::operator=(const segment_forward& other234) {
   packet = other234.packet;
   service_key = other234.service_key;
   purpose = other234.purpose;
+  max_outstanding = other234.max_outstanding;
+  __isset = other234.__isset;
   return *this;
 }
 segment_forward& segment_forward::operator=(segment_forward&& other235) noexcept {
   packet = std::move(other235.packet);
   service_key = other235.service_key;
   purpose = other235.purpose;
+  max_outstanding = other235.max_outstanding;
+  __isset = other235.__isset;
   return *this;
 }
 void segment_forward::printTo(std::ostream& out) const {
@@ -2728,6 +2743,7 @@
   out << "packet=" << to_string(packet);
   out << ", " << "service_key=" << to_string(service_key);
   out << ", " << "purpose=" << to_string(purpose);
+  out << ", " << "max_outstanding="; (__isset.max_outstanding ? (out << to_string(max_outstanding)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2970,6 +2986,11 @@
   this->packet = val;
 __isset.packet = true;
 }
+
+void segment_report::__set_outstanding(const int32_t val) {
+  this->outstanding = val;
+__isset.outstanding = true;
+}
 std::ostream& operator<<(std::ostream& out, const segment_report& obj)
 {
   obj.printTo(out);
@@ -2986,6 +3007,7 @@
   swap(a.sequence, b.sequence);
   swap(a.reason, b.reason);
   swap(a.packet, b.packet);
+  swap(a.outstanding, b.outstanding);
   swap(a.__isset, b.__isset);
 }
 
@@ -2997,6 +3019,7 @@
   sequence = other264.sequence;
   reason = other264.reason;
   packet = other264.packet;
+  outstanding = other264.outstanding;
   __isset = other264.__isset;
 }
 segment_report::segment_report(segment_report&& other265) noexcept {
@@ -3007,6 +3030,7 @@
   sequence = other265.sequence;
   reason = other265.reason;
   packet = std::move(other265.packet);
+  outstanding = other265.outstanding;
   __isset = other265.__isset;
 }
 segment_report& segment_report::operator=(const segment_report& other266) {
@@ -3017,6 +3041,7 @@
   sequence = other266.sequence;
   reason = other266.reason;
   packet = other266.packet;
+  outstanding = other266.outstanding;
   __isset = other266.__isset;
   return *this;
 }
@@ -3028,6 +3053,7 @@
   sequence = other267.sequence;
   reason = other267.reason;
   packet = std::move(other267.packet);
+  outstanding = other267.outstanding;
   __isset = other267.__isset;
   return *this;
 }
@@ -3041,6 +3067,7 @@
   out << ", " << "sequence="; (__isset.sequence ? (out << to_string(sequence)) : (out << "<null>"));
   out << ", " << "reason="; (__isset.reason ? (out << to_string(reason)) : (out << "<null>"));
   out << ", " << "packet="; (__isset.packet ? (out << to_string(packet)) : (out << "<null>"));
+  out << ", " << "outstanding="; (__isset.outstanding ? (out << to_string(outstanding)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -2355,6 +2355,10 @@
 
 std::ostream& operator<<(std::ostream& out, const flow_unknown& obj);
 
+typedef struct _segment_forward__isset {
+  _segment_forward__isset() : max_outstanding(false) {}
+  bool max_outstanding :1;
+} _segment_forward__isset;
 
 class segment_forward {
  public:
@@ -2366,13 +2370,17 @@
   segment_forward() noexcept
                   : packet(),
                     service_key(0),
-                    purpose(0) {
+                    purpose(0),
+                    max_outstanding(0) {
   }
 
   virtual ~segment_forward() noexcept;
   std::string packet;
   int64_t service_key;
   int8_t purpose;
+  int32_t max_outstanding;
+
+  _segment_forward__isset __isset;
 
   void __set_packet(const std::string& val);
 
@@ -2380,6 +2388,8 @@
 
   void __set_purpose(const int8_t val);
 
+  void __set_max_outstanding(const int32_t val);
+
   bool operator == (const segment_forward & rhs) const
   {
     if (!(packet == rhs.packet))
@@ -2388,6 +2398,10 @@
       return false;
     if (!(purpose == rhs.purpose))
       return false;
+    if (__isset.max_outstanding != rhs.__isset.max_outstanding)
+      return false;
+    else if (__isset.max_outstanding && !(max_outstanding == rhs.max_outstanding))
+      return false;
     return true;
   }
   bool operator != (const segment_forward &rhs) const {
@@ -2593,10 +2607,11 @@
 std::ostream& operator<<(std::ostream& out, const segment_answers& obj);
 
 typedef struct _segment_report__isset {
-  _segment_report__isset() : sequence(false), reason(false), packet(false) {}
+  _segment_report__isset() : sequence(false), reason(false), packet(false), outstanding(false) {}
   bool sequence :1;
   bool reason :1;
   bool packet :1;
+  bool outstanding :1;
 } _segment_report__isset;
 
 class segment_report {
@@ -2612,7 +2627,8 @@
                    load_permille(0),
                    sequence(0),
                    reason(0),
-                   packet() {
+                   packet(),
+                   outstanding(0) {
   }
 
   virtual ~segment_report() noexcept;
@@ -2623,6 +2639,7 @@
   int32_t sequence;
   int16_t reason;
   std::string packet;
+  int32_t outstanding;
 
   _segment_report__isset __isset;
 
@@ -2640,6 +2657,8 @@
 
   void __set_packet(const std::string& val);
 
+  void __set_outstanding(const int32_t val);
+
   bool operator == (const segment_report & rhs) const
   {
     if (!(key == rhs.key))
@@ -2662,6 +2681,10 @@
       return false;
     else if (__isset.packet && !(packet == rhs.packet))
       return false;
+    if (__isset.outstanding != rhs.__isset.outstanding)
+      return false;
+    else if (__isset.outstanding && !(outstanding == rhs.outstanding))
+      return false;
     return true;
   }
   bool operator != (const segment_report &rhs) const {
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -4159,6 +4159,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_outstanding);
+          this->__isset.max_outstanding = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4195,6 +4203,11 @@
   xfer += oprot->writeByte(this->purpose);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.max_outstanding) {
+    xfer += oprot->writeFieldBegin("max_outstanding", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->max_outstanding);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4622,6 +4635,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outstanding);
+          this->__isset.outstanding = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4679,6 +4700,11 @@
     xfer += oprot->writeBinary(this->packet);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.outstanding) {
+    xfer += oprot->writeFieldBegin("outstanding", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->outstanding);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -303,6 +303,9 @@
   1: required binary packet     // as the sender of the packet wrote it
   2: required i64 service_key       // hash of the service's name
   3: required i8 purpose
+  // With a new flow: the target takes it only while it has fewer outstanding requests than this, in thousandths for each
+  // of its slots. Without it there is no such limit.
+  4: optional i32 max_outstanding
 }
 
 // Balancer to every agent of a service: which target holds the flow? Carries no segment, because there may be
@@ -338,6 +341,7 @@
   5: optional i32 sequence      // first sequence number of the target, with outcome 1
   6: optional i16 reason        // error_code, with outcome 3
   7: optional binary packet     // the segment, with outcomes 3 and 4 unless it was a search
+  8: optional i32 outstanding   // with outcome 3 because of `max_outstanding`: in the same unit, at this moment
 }
 
 // Agent to the balancers that have sent segments recently: the load of its target.
