Send queries for unknown flows within a share of the link

Ruled out: processor time (0.012 of 0.12 of a core at most); searches that begin again and again (5 to 7 new ones a second). Change: queries get 30 % of the link, counted with headers; those that begin while it is used up wait and share datagrams instead of being dropped. Test: many_searches_leave_most_of_a_small_link_to_other_traffic; the test of the limit counts each search as it begins and goes on for a second, because queries that wait are now sent later.

--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -33,6 +33,8 @@
     /// Greatest age of a flow; callers discard older flows. A flow without packets for longer than this may
     /// be dropped from the cache and is searched for when it has a packet again.
     std::chrono::milliseconds max_flow_age{60000};
+    /// Bytes per second that queries for the holders of unknown flows may take.
+    double query_bytes_per_second = 80000;
 };
 
 /// Places new flows on targets and forwards the packets of open flows to the agents of their holders.
@@ -50,8 +52,9 @@
     /// Handles one packet of a caller. `table_age` is the age of the routes. While there is no
     /// description and the routes are not fresh, packets are kept for a short time.
     void on_packet(time_point now, std::string_view packet, std::chrono::milliseconds table_age, outbox& out);
-    /// Sends the queued queries, with many flows in one datagram. Call after each batch of events.
-    void send_queries(outbox& out);
+    /// Sends the queued queries, with many flows in one datagram, or keeps them while the queries that were
+    /// sent before use up the bandwidth for queries. Call after each batch of events.
+    void send_queries(time_point now, outbox& out);
     /// Handles segment_report, segment_answers and segment_load of agents; ignores other messages.
     void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
     /// Ends searches whose outcome is certain and forgets flows without recent packets. `table_age` is the
@@ -70,8 +73,8 @@
     [[nodiscard]] const std::shared_ptr<const flow_routes>& routes() const noexcept { return routes_; }
 
 private:
-    // Queries that may be sent at once, where each pair of a flow and a target counts as one query.
-    static constexpr double query_burst = 1000;
+    // Seconds of `query_bytes_per_second` that may be sent at once, and that queued queries may take.
+    static constexpr double query_burst_s = 0.5;
 
     // A search for the holder of a flow.
     struct search {
@@ -124,7 +127,8 @@
     void on_unsure(const flow_key& key, const endpoint& from, outbox& out);
     void reset_missing_flow(time_point now, flow_map::iterator it, outbox& out);
     [[nodiscard]] bool confirm_not_held(const flow_key& key, flow& f);
-    [[nodiscard]] bool take_query_budget(time_point now, const flow_route& route);
+    void refill_query_budget(time_point now);
+    [[nodiscard]] bool may_queue_queries() const;
     void finish_searches(time_point now, outbox& out);
     // Returns true if the cache may not take another flow.
     [[nodiscard]] bool is_full_for(const flow_key& key) const;
@@ -147,12 +151,13 @@
     std::vector<early_packet> early_packets_;
     // Flows whose opening packet is in `early_packets_`.
     std::unordered_set<flow_key, flow_key_hash> early_openings_;
-    // Number of queries that may be sent at present.
+    // Bytes of queries that may be sent at present; negative while queries are owed.
     double query_budget_;
     time_point last_budget_refill_;
     flow_map flows_;
     // Questions for each agent and service that wait for `send_queries`.
     std::map<std::pair<endpoint, std::int64_t>, std::vector<wire::segment_question>> pending_questions_;
+    std::size_t pending_question_count_ = 0;
     // Flows with a search whose outcome is checked on each tick; some may have been found or forgotten.
     std::vector<flow_key> searched_flows_;
     target_choice target_choice_;
--- a/src/include/peridotcleat/settings.h
+++ b/src/include/peridotcleat/settings.h
@@ -37,6 +37,9 @@
     /// Returns an integer in [`low`, `high`]; for any other value records `invalid_setting` and returns
     /// `low`.
     std::int64_t integer(const std::string& flag, std::int64_t low, std::int64_t high);
+    /// Returns a number, with or without a fraction, in [`low`, `high`]; for any other value records
+    /// `invalid_setting` and returns `low`.
+    double number(const std::string& flag, double low, double high);
     /// Returns a duration given in milliseconds, with or without a fraction, in [`low`, `high`]; for any
     /// other value records `invalid_setting` and returns `low`.
     std::chrono::milliseconds milliseconds(const std::string& flag, std::chrono::milliseconds low,
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -43,7 +43,7 @@
 constexpr milliseconds young_flow_age{5000};
 // Load that a young flow adds because its use is not known yet, in thousandths of a slot.
 constexpr double young_flow_permille = 100;
-// Part of this load that a young flow adds after its end. Without it, a target that fails all requests at once
+// Part of this load that a young flow adds after its end. Otherwise a target that fails all requests at once
 // would seem idle and attract the flows.
 constexpr double ended_flow_weight = 0.4;
 // Load that each open flow adds, in thousandths of a slot.
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -35,7 +35,8 @@
 
 segment_balancer::segment_balancer(segment_balancer_settings settings, counters& counted)
     : settings_(std::move(settings)), counted_(&counted), routes_(std::make_shared<flow_routes>()),
-      query_budget_(query_burst), target_choice_(settings_.zone, settings_.zone_penalty_permille)
+      query_budget_(settings_.query_bytes_per_second * query_burst_s),
+      target_choice_(settings_.zone, settings_.zone_penalty_permille)
 {
 }
 
--- a/src/libperidotcleat/connection/segment_balancer_test.cpp
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -132,7 +132,7 @@
     // Returns the agents that were queried since the last call, once for each flow.
     std::vector<endpoint> queried()
     {
-        balancer.send_queries(out);
+        balancer.send_queries(now, out);
         std::vector<endpoint> recipients;
         for (const send_action& s : out.sends) {
             if (const auto* query = std::get_if<wire::segment_query>(&s.body)) {
@@ -285,17 +285,53 @@
 {
     join(agent_a, "zone-a", "live");
     join(agent_b, "zone-b", "live");
+    // The default of 80,000 bytes per second is enough for 2,000 questions; half a second of it may be used
+    // at once, and as much may be owed.
+    std::size_t questions = 0;
     for (std::uint16_t port = 1; port <= 5000; ++port) {
         send(port, 77);
+        questions += queried().size();
     }
-    EXPECT_LE(queried().size(), 1100U);
+    EXPECT_LE(questions, 1100U);
     open(6000);
     EXPECT_EQ(sent(segment_purpose::place).size(), 1U);
-    now += std::chrono::seconds(1);
+    for (int i = 0; i < 20; ++i) {
+        now += milliseconds(50);
+        questions += queried().size();
+    }
+    EXPECT_LE(questions, 3100U);
     send(7000, 77);
     EXPECT_EQ(queried().size(), 2U);
 }
 
+// Guards against links that are full of small queries, so that the table and the packets of flows are lost:
+// each of 100 flows that become unknown within a second is searched for at 150 targets, over a link of 2
+// Mbit/s.
+TEST_F(segment_balancer_test, many_searches_leave_most_of_a_small_link_to_other_traffic)
+{
+    for (std::uint32_t i = 0; i < 150; ++i) {
+        join({0x0a030000 + i, 7000}, "zone-a", "live");
+    }
+    std::size_t datagrams = 0;
+    std::size_t questions = 0;
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+        now += milliseconds(10);
+        send(port, 77);
+        balancer.send_queries(now, out);
+        for (const send_action& s : out.sends) {
+            if (const auto* query = std::get_if<wire::segment_query>(&s.body)) {
+                ++datagrams;
+                questions += query->flows.size();
+            }
+        }
+        out.clear();
+    }
+    constexpr std::size_t header_bytes = 28;
+    constexpr std::size_t link_bytes_per_second = 250'000;
+    EXPECT_LT((datagrams * header_bytes) + (questions * 40), link_bytes_per_second / 2);
+    EXPECT_GT(questions, 150U * 8);
+}
+
 // Guards against the reset of an open flow while one target has not answered, or while the table has not been
 // confirmed since the search began.
 TEST_F(segment_balancer_test, a_flow_is_reset_only_if_every_target_of_a_confirmed_table_lacks_it)
@@ -340,7 +376,7 @@
     for (std::uint16_t port = 1; port <= 60; ++port) {
         send(port, 77);
     }
-    balancer.send_queries(out);
+    balancer.send_queries(now, out);
     EXPECT_LE(out.sends.size(), 2U);
     for (const send_action& s : out.sends) {
         EXPECT_LE(encode(cluster_id{1}, s.body).size(), max_control_body + 40);
--- a/src/libperidotcleat/connection/segment_search.cpp
+++ b/src/libperidotcleat/connection/segment_search.cpp
@@ -16,10 +16,11 @@
 // then ends only when an agent's answer `held` or `absent` arrives; silent agents are queried again with the
 // caller's next packet.
 constexpr milliseconds search_check_period{5000};
-// Queries per second, where each pair of a flow and a target counts as one. A query takes about 85 bytes if
-// it has a datagram of its own, so this is a third of a link of 5 Mbit/s. After the loss of many nodes all
-// flows are unknown, and without a limit the searches would leave no bandwidth for new flows.
-constexpr double queries_per_second = 2000;
+// Bytes of one question in a query, and of the datagram around the questions with its headers. Links of a few
+// Mbit/s are full with some thousand datagrams a second, so the queries of searches that begin while the
+// bandwidth for queries is used up share datagrams.
+constexpr double question_bytes = 40;
+constexpr double query_datagram_bytes = 80;
 // Flows in one datagram; a question takes up to 36 bytes.
 constexpr std::size_t max_questions_per_query = max_control_body / 40;
 // The largest number of packets that a sender has in flight.
@@ -35,7 +36,7 @@
         counted_->count_refusal(error_code::flow_unknown);
         return;
     }
-    if (!take_query_budget(now, *route)) {
+    if (!may_queue_queries()) {
         counted_->count_refusal(error_code::search_limit);
         return;
     }
@@ -60,19 +61,19 @@
                {"table_age_ms", table_age_.count()}});
 }
 
-// Takes the queries of one search from the budget. Returns false if the budget is used up.
-bool segment_balancer::take_query_budget(time_point now, const flow_route& route)
+void segment_balancer::refill_query_budget(time_point now)
 {
     const std::chrono::duration<double> elapsed = now - last_budget_refill_;
-    query_budget_ = std::min(query_burst, query_budget_ + (elapsed.count() * queries_per_second));
+    query_budget_ = std::min(settings_.query_bytes_per_second * query_burst_s,
+                             query_budget_ + (elapsed.count() * settings_.query_bytes_per_second));
     last_budget_refill_ = now;
-    if (query_budget_ <= 0) {
-        return false;
-    }
-    for (const flow_service* service : route.services_with_flows()) {
-        query_budget_ -= static_cast<double>(service->targets.size());
-    }
-    return true;
+}
+
+// Returns false if the queued queries take all of the bandwidth of the next moment already.
+bool segment_balancer::may_queue_queries() const
+{
+    return static_cast<double>(pending_question_count_) * question_bytes <
+           settings_.query_bytes_per_second * query_burst_s;
 }
 
 // Handles a further packet of a flow that is searched for. Targets that have not answered `absent` within
@@ -80,14 +81,14 @@
 void segment_balancer::continue_search(time_point now, const flow_key& key, flow& f, std::string_view packet)
 {
     search& s = *f.active_search;
-    if (now - s.last_query < query_timeout) {
+    if (now - s.last_query < query_timeout || !pending_questions_.empty()) {
         if (s.waiting_packets.size() < max_waiting_packets) {
             s.waiting_packets.emplace_back(packet);
         }
         return;
     }
     const flow_route* route = routes_->find(key.destination);
-    if (route == nullptr || !take_query_budget(now, *route)) {
+    if (route == nullptr || !may_queue_queries()) {
         counted_->count_refusal(error_code::search_limit);
         return;
     }
@@ -117,13 +118,21 @@
             s.queried.push_back(t.agent);
             if (!contains(s.absent, t.agent)) {
                 pending_questions_[{t.agent, service->key}].push_back(question);
+                ++pending_question_count_;
             }
         }
     }
 }
 
-void segment_balancer::send_queries(outbox& out)
+void segment_balancer::send_queries(time_point now, outbox& out)
 {
+    if (pending_questions_.empty()) {
+        return;
+    }
+    refill_query_budget(now);
+    if (query_budget_ <= 0) {
+        return;
+    }
     for (auto& [recipient, questions] : pending_questions_) {
         for (std::size_t begin = 0; begin < questions.size(); begin += max_questions_per_query) {
             const auto first = questions.begin() + static_cast<std::ptrdiff_t>(begin);
@@ -131,10 +140,12 @@
             wire::segment_query query;
             query.service_key = recipient.second;
             query.flows.assign(first, first + static_cast<std::ptrdiff_t>(count));
+            query_budget_ -= query_datagram_bytes + (question_bytes * static_cast<double>(count));
             out.send(recipient.first, std::move(query));
         }
     }
     pending_questions_.clear();
+    pending_question_count_ = 0;
 }
 
 void segment_balancer::on_answers(time_point now, const endpoint& from, const wire::segment_answers& answers,
--- a/src/libperidotcleat/connection/target_choice.cpp
+++ b/src/libperidotcleat/connection/target_choice.cpp
@@ -27,8 +27,8 @@
 // Targets that may queue the flow before it is refused.
 constexpr std::ptrdiff_t queue_attempts = 2;
 constexpr std::int32_t free_slot_permille = 1000;
-// Outstanding requests up to which a request is queued, in thousandths for each slot: it waits for less than two
-// others on average. Targets would queue more, but then shed requests that they have held for a while.
+// Outstanding requests up to which a request is queued, in thousandths for each slot: it waits for less than
+// two others on average. Targets would queue more, but then shed requests that they have held for a while.
 constexpr std::int32_t queue_permille = 2500;
 
 const placement_attempt* find_attempt(const std::vector<placement_attempt>& attempts, const endpoint& agent)
--- a/src/libperidotcleat/process/settings.cpp
+++ b/src/libperidotcleat/process/settings.cpp
@@ -209,6 +209,24 @@
     return number;
 }
 
+double settings::number(const std::string& flag, double low, double high)
+{
+    const std::string value_text = text(flag);
+    if (value_text.empty()) {
+        return low;
+    }
+    double number = 0;
+    const auto [ptr, ec] = std::from_chars(value_text.data(), value_text.data() + value_text.size(), number);
+    // The comparison is written so that NaN is out of range too.
+    const bool in_range = number >= low && number <= high;
+    if (ec != std::errc{} || ptr != value_text.data() + value_text.size() || !in_range) {
+        reject(error_code::invalid_setting, flag, value_text,
+               std::to_string(std::llround(low)) + " to " + std::to_string(std::llround(high)));
+        return low;
+    }
+    return number;
+}
+
 std::chrono::milliseconds settings::milliseconds(const std::string& flag, std::chrono::milliseconds low,
                                                  std::chrono::milliseconds high)
 {
--- a/src/testing/segment_simulation.h
+++ b/src/testing/segment_simulation.h
@@ -303,7 +303,7 @@
 
     void dispatch_balancer(std::size_t i, outbox& out)
     {
-        balancers_[i]->send_queries(out);
+        balancers_[i]->send_queries(now_, out);
         for (send_action& s : out.sends) {
             const std::size_t t = s.to.address - agent_address(0).address;
             schedule(delay(zone_of(i), zone_of(t)), [this, i, t, m = std::move(s.body)] {
