Trace the failure of processes_test beside a build

Cause: processes_test starts the programs of the build folder. While ninja links one of them anew in the same folder, starting it fails with "Permission denied". A cast in a test header, for clang-tidy.

--- a/src/testing/segment_simulation.h
+++ b/src/testing/segment_simulation.h
@@ -270,7 +270,7 @@
 
     void begin_request()
     {
-        const std::size_t balancer =
+        const auto balancer =
             static_cast<std::size_t>(random_below(static_cast<std::int64_t>(balancers_.size())));
         const auto number = static_cast<std::uint32_t>(next_request_++);
         const flow_key key{
