Queue new flows by expected wait, and never because of unused ones

Ruled out: lost packets (the refusals are in the agent's log as no_slot). Change: an unused new flow takes a free slot only. An agent without a free slot reports the wait to expect (requests for each slot times the average exchange), and the flow is queued where it is shortest, up to two requests a slot. processes_test registers its clean-up before it starts anything.

--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -124,6 +124,7 @@
     void send_load(time_point now, outbox& out);
     [[nodiscard]] std::int32_t load_permille() const;
     [[nodiscard]] std::int32_t outstanding_permille() const;
+    [[nodiscard]] std::int32_t expected_wait_ms() const;
     [[nodiscard]] std::chrono::milliseconds report_interval() const;
     void sample_load(time_point now);
     void decline(const endpoint& to, const segment& s, std::string_view packet, error_code reason,
@@ -155,6 +156,8 @@
     std::deque<std::pair<time_point, flow_key>> reservations_;
     // Average number of outstanding requests over about the last second.
     double outstanding_average_ = 0;
+    // Average time from a request to the beginning of its answer.
+    double exchange_average_ms_ = 0;
     // Sum over the open flows at the last sample, where each counts less the older it is.
     double young_flows_ = 0;
     // New flows since the last sample.
--- a/src/include/peridotcleat/target_choice.h
+++ b/src/include/peridotcleat/target_choice.h
@@ -23,8 +23,8 @@
     bool may_queue = false;
     /// First sequence number of the target, from its offer.
     std::uint32_t sequence = 0;
-    /// Outstanding requests of the target, in thousandths for each slot, if it declined because of them.
-    std::optional<std::int32_t> outstanding_permille;
+    /// Time that a request would have to wait at the target, if it declined because no slot is free.
+    std::optional<std::chrono::milliseconds> expected_wait;
 };
 
 /// Chooses the targets of new flows.
@@ -33,7 +33,7 @@
 /// balancer that always chose the least loaded target would flood it together with all others. Therefore the
 /// candidate is the better one of two random targets, and its agent, which knows the outstanding requests,
 /// declines the flow if no slot is free. After several such answers the flow may be queued at the target that
-/// has reported the fewest outstanding requests. Has no clock; not thread-safe.
+/// has reported the shortest wait. Has no clock; not thread-safe.
 class target_choice {
 public:
     /// The target for an opening packet and the outstanding requests, in thousandths for each slot, from
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds load_sample_interval{200};
 // Weight of the newest sample in the average of outstanding requests; the average covers about a second.
 constexpr double load_sample_weight = 0.2;
+// Weight of the newest request in the average time until its answer begins.
+constexpr double exchange_sample_weight = 0.1;
 // Factor by which the weight of a young flow decreases from one sample to the next, so that it has lost four
 // fifths of its weight after two seconds.
 constexpr double young_flow_decay = 0.85;
@@ -293,7 +295,7 @@
     report.__set_reason(static_cast<std::int16_t>(reason));
     report.__set_packet(std::string(packet));
     if (reason == error_code::no_slot) {
-        report.__set_outstanding(outstanding_permille());
+        report.__set_expected_wait_ms(expected_wait_ms());
     }
     out.send(to, std::move(report));
 }
@@ -452,6 +454,8 @@
     if (s.length > 0) {
         f.opened = true;
         if (f.busy) {
+            const std::chrono::duration<double, std::milli> exchange = now - f.busy_since;
+            exchange_average_ms_ += exchange_sample_weight * (exchange.count() - exchange_average_ms_);
             counted_->record(latency::exchange,
                              std::chrono::duration_cast<std::chrono::microseconds>(now - f.busy_since));
         }
@@ -519,11 +523,19 @@
     return static_cast<std::int32_t>(std::min(load, 1e9));
 }
 
-// Returns the requests that the target has to serve at this moment, in thousandths for each of its slots.
+// Returns the requests that the target has to serve at this moment, in thousandths for each of its slots. New
+// flows without a request take free slots only: a caller may open many flows long before it uses them, and
+// they must not fill the queue.
 std::int32_t segment_agent::outstanding_permille() const
 {
     const std::size_t slots = target_ ? std::max<std::size_t>(target_->slots, 1) : 1;
-    return static_cast<std::int32_t>((busy_flows_ + reserved_flows_) * 1000 / slots);
+    const std::size_t taken = std::min(busy_flows_ + reserved_flows_, std::max(busy_flows_, slots));
+    return static_cast<std::int32_t>(taken * 1000 / slots);
+}
+
+std::int32_t segment_agent::expected_wait_ms() const
+{
+    return static_cast<std::int32_t>(outstanding_permille() * exchange_average_ms_ / 1000);
 }
 
 milliseconds segment_agent::report_interval() const
--- a/src/libperidotcleat/connection/segment_agent_test.cpp
+++ b/src/libperidotcleat/connection/segment_agent_test.cpp
@@ -277,6 +277,39 @@
     EXPECT_TRUE(last_outcome_is(segment_outcome::absent));
 }
 
+// Guards against new flows that are refused because callers have opened many flows before that they do not
+// use yet.
+TEST_F(segment_agent_test, unused_flows_take_free_slots_but_not_the_queue)
+{
+    const auto open_with_limit = [this](std::uint16_t port, std::int32_t max_outstanding) {
+        segment s;
+        s.key = {{0x64400001, port}, flow.destination};
+        s.opens = true;
+        wire::segment_forward m;
+        m.packet = fake_packet(s);
+        m.service_key = service_key("live");
+        m.purpose = static_cast<std::int8_t>(segment_purpose::place);
+        m.__set_max_outstanding(max_outstanding);
+        out.clear();
+        agent.on_message(now, balancer_address, m, out);
+        return packets_to_target() == 1;
+    };
+    EXPECT_TRUE(open_with_limit(1, 1000));
+    EXPECT_TRUE(open_with_limit(2, 1000));
+    EXPECT_FALSE(open_with_limit(3, 1000));
+    const auto all = reports();
+    ASSERT_EQ(all.size(), 1U);
+    EXPECT_EQ(all[0].reason, static_cast<std::int16_t>(error_code::no_slot));
+    EXPECT_TRUE(all[0].__isset.expected_wait_ms);
+    for (std::uint16_t port = 3; port < 30; ++port) {
+        EXPECT_TRUE(open_with_limit(port, 2500));
+    }
+    // The callers of the unused flows have not taken the offers, or will use the flows later.
+    now += milliseconds(150);
+    agent.on_tick(now, out);
+    EXPECT_TRUE(open_with_limit(40, 1000));
+}
+
 // Guards against an opening packet that reaches the next target with the flag by which the previous one
 // returned it.
 TEST_F(segment_agent_test, a_shed_opening_packet_is_reported_as_its_sender_wrote_it)
--- a/src/libperidotcleat/connection/segment_balancer.cpp
+++ b/src/libperidotcleat/connection/segment_balancer.cpp
@@ -341,8 +341,8 @@
         return;
     }
     p->declined = true;
-    if (report.__isset.outstanding) {
-        p->outstanding_permille = report.outstanding;
+    if (report.__isset.expected_wait_ms) {
+        p->expected_wait = milliseconds(report.expected_wait_ms);
     }
     const bool offered = std::ranges::any_of(f.placements, &placement_attempt::offered);
     if (!offered && report.__isset.packet) {
--- a/src/libperidotcleat/connection/target_choice.cpp
+++ b/src/libperidotcleat/connection/target_choice.cpp
@@ -29,7 +29,10 @@
 constexpr std::int32_t free_slot_permille = 1000;
 // Outstanding requests up to which a request is queued, in thousandths for each slot: it waits for less than
 // two others on average. Targets would queue more, but then shed requests that they have held for a while.
-constexpr std::int32_t queue_permille = 2500;
+constexpr std::int32_t queue_permille = 2000;
+
+// A request is queued in another zone only if it waits there for less time by this much.
+constexpr milliseconds zone_change_wait{20};
 
 const placement_attempt* find_attempt(const std::vector<placement_attempt>& attempts, const endpoint& agent)
 {
@@ -48,9 +51,8 @@
 target_choice::choose(time_point now, const flow_key& key, const flow_service& service,
                       const std::vector<placement_attempt>& attempts) const
 {
-    const auto full = std::ranges::count_if(attempts, [](const placement_attempt& a) {
-        return a.outstanding_permille.has_value() || a.may_queue;
-    });
+    const auto full = std::ranges::count_if(
+        attempts, [](const placement_attempt& a) { return a.expected_wait.has_value() || a.may_queue; });
     if (full < free_slot_attempts) {
         if (const flow_target* target = pick(now, key, service, attempts)) {
             return choice{target, free_slot_permille, false};
@@ -60,13 +62,14 @@
         return std::nullopt;
     }
     choice best;
-    std::int64_t best_cost = 0;
+    std::pair<milliseconds, std::int64_t> best_cost;
     for (const flow_target& t : service.targets) {
         const placement_attempt* a = find_attempt(attempts, t.agent);
-        if (a == nullptr || a->may_queue || !a->outstanding_permille || t.draining) {
+        if (a == nullptr || a->may_queue || !a->expected_wait || t.draining) {
             continue;
         }
-        const std::int64_t cost = *a->outstanding_permille + (t.zone == zone_ ? 0 : zone_penalty_permille_);
+        const std::pair cost{*a->expected_wait + (t.zone == zone_ ? milliseconds(0) : zone_change_wait),
+                             cost_of(t)};
         if (best.target == nullptr || cost < best_cost) {
             best = {&t, queue_permille, true};
             best_cost = cost;
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -2987,9 +2987,9 @@
 __isset.packet = true;
 }
 
-void segment_report::__set_outstanding(const int32_t val) {
-  this->outstanding = val;
-__isset.outstanding = true;
+void segment_report::__set_expected_wait_ms(const int32_t val) {
+  this->expected_wait_ms = val;
+__isset.expected_wait_ms = true;
 }
 std::ostream& operator<<(std::ostream& out, const segment_report& obj)
 {
@@ -3007,7 +3007,7 @@
   swap(a.sequence, b.sequence);
   swap(a.reason, b.reason);
   swap(a.packet, b.packet);
-  swap(a.outstanding, b.outstanding);
+  swap(a.expected_wait_ms, b.expected_wait_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -3019,7 +3019,7 @@
   sequence = other264.sequence;
   reason = other264.reason;
   packet = other264.packet;
-  outstanding = other264.outstanding;
+  expected_wait_ms = other264.expected_wait_ms;
   __isset = other264.__isset;
 }
 segment_report::segment_report(segment_report&& other265) noexcept {
@@ -3030,7 +3030,7 @@
   sequence = other265.sequence;
   reason = other265.reason;
   packet = std::move(other265.packet);
-  outstanding = other265.outstanding;
+  expected_wait_ms = other265.expected_wait_ms;
   __isset = other265.__isset;
 }
 segment_report& segment_report::operator=(const segment_report& other266) {
@@ -3041,7 +3041,7 @@
   sequence = other266.sequence;
   reason = other266.reason;
   packet = other266.packet;
-  outstanding = other266.outstanding;
+  expected_wait_ms = other266.expected_wait_ms;
   __isset = other266.__isset;
   return *this;
 }
@@ -3053,7 +3053,7 @@
   sequence = other267.sequence;
   reason = other267.reason;
   packet = std::move(other267.packet);
-  outstanding = other267.outstanding;
+  expected_wait_ms = other267.expected_wait_ms;
   __isset = other267.__isset;
   return *this;
 }
@@ -3067,7 +3067,7 @@
   out << ", " << "sequence="; (__isset.sequence ? (out << to_string(sequence)) : (out << "<null>"));
   out << ", " << "reason="; (__isset.reason ? (out << to_string(reason)) : (out << "<null>"));
   out << ", " << "packet="; (__isset.packet ? (out << to_string(packet)) : (out << "<null>"));
-  out << ", " << "outstanding="; (__isset.outstanding ? (out << to_string(outstanding)) : (out << "<null>"));
+  out << ", " << "expected_wait_ms="; (__isset.expected_wait_ms ? (out << to_string(expected_wait_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -2607,11 +2607,11 @@
 std::ostream& operator<<(std::ostream& out, const segment_answers& obj);
 
 typedef struct _segment_report__isset {
-  _segment_report__isset() : sequence(false), reason(false), packet(false), outstanding(false) {}
+  _segment_report__isset() : sequence(false), reason(false), packet(false), expected_wait_ms(false) {}
   bool sequence :1;
   bool reason :1;
   bool packet :1;
-  bool outstanding :1;
+  bool expected_wait_ms :1;
 } _segment_report__isset;
 
 class segment_report {
@@ -2628,7 +2628,7 @@
                    sequence(0),
                    reason(0),
                    packet(),
-                   outstanding(0) {
+                   expected_wait_ms(0) {
   }
 
   virtual ~segment_report() noexcept;
@@ -2639,7 +2639,7 @@
   int32_t sequence;
   int16_t reason;
   std::string packet;
-  int32_t outstanding;
+  int32_t expected_wait_ms;
 
   _segment_report__isset __isset;
 
@@ -2657,7 +2657,7 @@
 
   void __set_packet(const std::string& val);
 
-  void __set_outstanding(const int32_t val);
+  void __set_expected_wait_ms(const int32_t val);
 
   bool operator == (const segment_report & rhs) const
   {
@@ -2681,9 +2681,9 @@
       return false;
     else if (__isset.packet && !(packet == rhs.packet))
       return false;
-    if (__isset.outstanding != rhs.__isset.outstanding)
+    if (__isset.expected_wait_ms != rhs.__isset.expected_wait_ms)
       return false;
-    else if (__isset.outstanding && !(outstanding == rhs.outstanding))
+    else if (__isset.expected_wait_ms && !(expected_wait_ms == rhs.expected_wait_ms))
       return false;
     return true;
   }
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -4637,8 +4637,8 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->outstanding);
-          this->__isset.outstanding = true;
+          xfer += iprot->readI32(this->expected_wait_ms);
+          this->__isset.expected_wait_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4700,9 +4700,9 @@
     xfer += oprot->writeBinary(this->packet);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.outstanding) {
-    xfer += oprot->writeFieldBegin("outstanding", ::apache::thrift::protocol::T_I32, 8);
-    xfer += oprot->writeI32(this->outstanding);
+  if (this->__isset.expected_wait_ms) {
+    xfer += oprot->writeFieldBegin("expected_wait_ms", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->expected_wait_ms);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -341,7 +341,7 @@
   5: optional i32 sequence      // first sequence number of the target, with outcome 1
   6: optional i16 reason        // error_code, with outcome 3
   7: optional binary packet     // the segment, with outcomes 3 and 4 unless it was a search
-  8: optional i32 outstanding   // with outcome 3 because of `max_outstanding`: in the same unit, at this moment
+  8: optional i32 expected_wait_ms // with outcome 3 because of `max_outstanding`: wait of a request that comes now
 }
 
 // Agent to the balancers that have sent segments recently: the load of its target.
--- a/src/standin/processes_test.py
+++ b/src/standin/processes_test.py
@@ -88,6 +88,8 @@
     @classmethod
     def setUpClass(cls):
         cls.cluster = local_cluster.LocalCluster(BINARIES, seed=5, net=12)
+        # tearDownClass does not run if this method fails; the next run would meet the processes of this one.
+        cls.addClassCleanup(cls.cluster.shut_down)
         for i in range(local_cluster.CONTROL_COUNT):
             cls.cluster.start_control(i)
         assert cls.cluster.wait_until(
@@ -102,10 +104,6 @@
         assert cls.cluster.wait_until(
             20, lambda: len(cls.cluster.upstreams()) == len(local_cluster.UPSTREAMS)) is not None
 
-    @classmethod
-    def tearDownClass(cls):
-        cls.cluster.shut_down()
-
     @classmethod
     def accept(cls, operations):
         code, answer = cls.cluster.patch(f"patch-{cls.version}", cls.version, operations)
