Keep the load of an agent's target in a file of its own; queue at any target that was asked

One of 8,000 flows at 80 % of the capacity was refused after two of the five targets that were asked had filled their queues in the meantime, although three others had room.

--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -126,7 +126,10 @@
     [[nodiscard]] std::int32_t outstanding_permille() const;
     [[nodiscard]] std::int32_t expected_wait_ms() const;
     [[nodiscard]] std::chrono::milliseconds report_interval() const;
+    void update_load(time_point now, outbox& out);
     void sample_load(time_point now);
+    void reserve(time_point now, flow& f, const flow_key& key);
+    void average_exchange(clock::duration exchange);
     void decline(const endpoint& to, const segment& s, std::string_view packet, error_code reason,
                  outbox& out);
     void set_busy(flow& f, bool busy);
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -1,7 +1,6 @@
 #include "peridotcleat/segment_agent.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "peridotcleat/log.h"
@@ -13,10 +12,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds min_report_interval{200};
-// Load reports of an agent to each of its balancers are this far apart for each balancer, so that the reports
-// that a balancer gets do not grow with the number of balancers.
-constexpr milliseconds report_interval_per_balancer{20};
 constexpr milliseconds cleanup_interval{1000};
 // Balancers that have sent nothing for longer get no load reports.
 constexpr milliseconds balancer_timeout{5000};
@@ -33,28 +28,6 @@
 constexpr milliseconds target_answer_timeout{300};
 // Interval at which a target that does not answer gets a new flow as a test.
 constexpr milliseconds silent_target_retry{500};
-constexpr milliseconds load_sample_interval{200};
-// Weight of the newest sample in the average of outstanding requests; the average covers about a second.
-constexpr double load_sample_weight = 0.2;
-// Weight of the newest request in the average time until its answer begins.
-constexpr double exchange_sample_weight = 0.1;
-// Factor by which the weight of a young flow decreases from one sample to the next, so that it has lost four
-// fifths of its weight after two seconds.
-constexpr double young_flow_decay = 0.85;
-// Older flows have no weight.
-constexpr milliseconds young_flow_age{5000};
-// Load that a young flow adds because its use is not known yet, in thousandths of a slot.
-constexpr double young_flow_permille = 100;
-// Part of this load that a young flow adds after its end. Otherwise a target that fails all requests at once
-// would seem idle and attract the flows.
-constexpr double ended_flow_weight = 0.4;
-// Load that each open flow adds, in thousandths of a slot.
-constexpr double open_flow_permille = 30;
-// The first request of a new flow arrives within a few round trips. A flow whose caller accepts the offer of
-// another target never has one.
-constexpr milliseconds reservation_time{100};
-// Load that is added for a slow target during its warm-up, in thousandths of a slot for each of its slots.
-constexpr double cold_target_permille = 300;
 
 }  // namespace
 
@@ -276,8 +249,7 @@
     f.last_used = now;
     if (known == flows_.end()) {
         f.first_seen = now;
-        set_reserved(f, true);
-        reservations_.emplace_back(now + reservation_time, s.key);
+        reserve(now, f, s.key);
     }
     if (!unanswered_since_) {
         unanswered_since_ = now;
@@ -354,43 +326,6 @@
     out.packets.push_back({settings_.target, std::string(packet)});
 }
 
-void segment_agent::set_busy(flow& f, bool busy)
-{
-    if (f.busy != busy) {
-        f.busy = busy;
-        busy_flows_ += busy ? 1 : -1;
-    }
-}
-
-void segment_agent::set_reserved(flow& f, bool reserved)
-{
-    if (f.reserved != reserved) {
-        f.reserved = reserved;
-        reserved_flows_ += reserved ? 1 : -1;
-    }
-}
-
-void segment_agent::set_closing(flow& f)
-{
-    if (!f.closing) {
-        f.closing = true;
-        ++closing_flows_;
-        set_busy(f, false);
-        set_reserved(f, false);
-    }
-}
-
-// Ends the reservations of new flows whose callers have sent no request in time.
-void segment_agent::release_reservations(time_point now)
-{
-    while (!reservations_.empty() && reservations_.front().first <= now) {
-        if (const auto it = flows_.find(reservations_.front().second); it != flows_.end()) {
-            set_reserved(it->second, false);
-        }
-        reservations_.pop_front();
-    }
-}
-
 void segment_agent::forget_flows()
 {
     flows_.clear();
@@ -454,8 +389,7 @@
     if (s.length > 0) {
         f.opened = true;
         if (f.busy) {
-            const std::chrono::duration<double, std::milli> exchange = now - f.busy_since;
-            exchange_average_ms_ += exchange_sample_weight * (exchange.count() - exchange_average_ms_);
+            average_exchange(now - f.busy_since);
             counted_->record(latency::exchange,
                              std::chrono::duration_cast<std::chrono::microseconds>(now - f.busy_since));
         }
@@ -512,78 +446,10 @@
     return r;
 }
 
-std::int32_t segment_agent::load_permille() const
-{
-    double load = (outstanding_average_ * 1000) +
-                  (static_cast<double>(flows_.size() - closing_flows_) * open_flow_permille) +
-                  ((young_flows_ + static_cast<double>(openings_since_sample_)) * young_flow_permille);
-    if (target_ && last_announcement_ < warmup_end_) {
-        load += cold_target_permille * target_->slots;
-    }
-    return static_cast<std::int32_t>(std::min(load, 1e9));
-}
-
-// Returns the requests that the target has to serve at this moment, in thousandths for each of its slots. New
-// flows without a request take free slots only: a caller may open many flows long before it uses them, and
-// they must not fill the queue.
-std::int32_t segment_agent::outstanding_permille() const
-{
-    const std::size_t slots = target_ ? std::max<std::size_t>(target_->slots, 1) : 1;
-    const std::size_t taken = std::min(busy_flows_ + reserved_flows_, std::max(busy_flows_, slots));
-    return static_cast<std::int32_t>(taken * 1000 / slots);
-}
-
-std::int32_t segment_agent::expected_wait_ms() const
-{
-    return static_cast<std::int32_t>(outstanding_permille() * exchange_average_ms_ / 1000);
-}
-
-milliseconds segment_agent::report_interval() const
-{
-    const auto balancers = static_cast<std::int64_t>(balancers_last_heard_.size());
-    return std::max(min_report_interval, report_interval_per_balancer * balancers);
-}
-
-void segment_agent::sample_load(time_point now)
-{
-    last_sample_ = now;
-    outstanding_average_ +=
-        load_sample_weight * (static_cast<double>(busy_flows_ + reserved_flows_) - outstanding_average_);
-    openings_since_sample_ = 0;
-    young_flows_ = 0;
-    for (const auto& [key, f] : flows_) {
-        if (now - f.first_seen < young_flow_age) {
-            const std::chrono::duration<double> age = now - f.first_seen;
-            young_flows_ +=
-                std::pow(young_flow_decay, age / load_sample_interval) * (f.closing ? ended_flow_weight : 1);
-        }
-    }
-}
-
-void segment_agent::send_load(time_point now, outbox& out)
-{
-    wire::segment_load m;
-    m.service_key = service_key_;
-    m.load_permille = load_permille();
-    m.accepting = !refusal_reason(now).has_value();
-    for (const auto& [number, heard] : balancers_last_heard_) {
-        out.send(route_address(number), m);
-    }
-}
-
 void segment_agent::on_tick(time_point now, outbox& out)
 {
-    release_reservations(now);
-    if (now - last_sample_ >= load_sample_interval) {
-        log_admission_change(now);
-        sample_load(now);
-    }
-    if (now - last_load_report_ >= report_interval()) {
-        last_load_report_ = now;
-        std::erase_if(balancers_last_heard_,
-                      [now](const auto& b) { return now - b.second > balancer_timeout; });
-        send_load(now, out);
-    }
+    std::erase_if(balancers_last_heard_, [now](const auto& b) { return now - b.second > balancer_timeout; });
+    update_load(now, out);
     if (now - last_cleanup_ < cleanup_interval) {
         return;
     }
--- a/src/libperidotcleat/connection/target_choice.cpp
+++ b/src/libperidotcleat/connection/target_choice.cpp
@@ -24,8 +24,6 @@
 constexpr std::int32_t placed_permille = 150;
 // Targets without a free slot that are asked before the flow may be queued.
 constexpr std::ptrdiff_t free_slot_attempts = 5;
-// Targets that may queue the flow before it is refused.
-constexpr std::ptrdiff_t queue_attempts = 2;
 constexpr std::int32_t free_slot_permille = 1000;
 // Outstanding requests up to which a request is queued, in thousandths for each slot: it waits for less than
 // two others on average. Targets would queue more, but then shed requests that they have held for a while.
@@ -58,9 +56,6 @@
             return choice{target, free_slot_permille, false};
         }
     }
-    if (std::ranges::count_if(attempts, &placement_attempt::may_queue) >= queue_attempts) {
-        return std::nullopt;
-    }
     choice best;
     std::pair<milliseconds, std::int64_t> best_cost;
     for (const flow_target& t : service.targets) {
