Log member lists, failed elections and the reasons of refused changes at control

What operators saw: an operator's change answered 503 again and again, with status=not_accepted in the log and no reason. A control group without a leader logged nothing after leader_lost, and its election counters were in no metrics: the replica counted for itself. Cause: the log lines lacked the fields; control never published the replica's counters. Change: change_answered has code and reason; new lines read_failed, members_changed, election_failed and vote_refused; the replica of a control process counts into the counters of the process; elections_failed is new. Conclusion: a group without a majority, a slow one and a refusal can now be told apart.

--- a/src/include/peridotcleat/control.h
+++ b/src/include/peridotcleat/control.h
@@ -42,6 +42,7 @@
     /// `snapshot_corrupt`.
     static result<control> open(control_settings settings, Storage storage, time_point now, counters& counted)
     {
+        settings.replica.counted = &counted;
         auto opened = replica<Storage>::open(settings.replica, std::move(storage), now);
         if (!has_value(opened)) {
             return failure(opened);
--- a/src/include/peridotcleat/counters.h
+++ b/src/include/peridotcleat/counters.h
@@ -49,6 +49,7 @@
     leases_expired,
     elections_started,
     elections_won,
+    elections_failed,
     leader_step_downs,
     entries_appended,
     syncs,
--- a/src/include/peridotcleat/operator_api.h
+++ b/src/include/peridotcleat/operator_api.h
@@ -121,6 +121,8 @@
                           {{"status", to_string(answered.patch.status)},
                            {"version", answered.patch.version.value},
                            {"revision", answered.patch.entry_revision.value},
+                           {"code", static_cast<std::int64_t>(answered.patch.reason.code)},
+                           {"reason", answered.patch.reason.message},
                            {"waited_ms",
                             std::chrono::duration_cast<std::chrono::milliseconds>(now - it->second.arrived)
                                 .count()}});
@@ -280,18 +282,26 @@
     {
         auto started = role_.begin_read(now);
         if (!has_value(started)) {
+            log_read_failed(failure(started));
             answer->set(admin_error(503, failure(started)));
             return;
         }
         reads_.push_back({value(started), now + limit_, answer, std::move(on_confirmed)});
     }
 
+    static void log_read_failed(const error& reason)
+    {
+        log_event(log_level::info, "read_failed",
+                  {{"code", static_cast<std::int64_t>(reason.code)}, {"reason", reason.message}});
+    }
+
     // Answers a read that a quorum has confirmed, or that has failed or timed out. Returns true if it was
     // answered.
     bool finish_read(time_point now, pending_read& pending)
     {
         const auto ready = role_.read_ready(pending.read);
         if (!has_value(ready)) {
+            log_read_failed(failure(ready));
             pending.answer->set(not_leader());
             return true;
         }
@@ -299,7 +309,9 @@
             if (now < pending.deadline) {
                 return false;
             }
-            pending.answer->set(admin_error(503, {error_code::no_quorum, "no quorum confirmed the read"}));
+            const error unconfirmed{error_code::no_quorum, "no quorum confirmed the read"};
+            log_read_failed(unconfirmed);
+            pending.answer->set(admin_error(503, unconfirmed));
             return true;
         }
         try {
--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -72,6 +72,8 @@
     std::size_t voter_count = 0;
     replica_timing timing;
     std::uint64_t seed = 0;
+    /// Counters of the process, which must outlive the replica. Null: the replica has counters of its own.
+    counters* counted = nullptr;
 };
 
 /// Log position of a proposed entry. The proposal is committed only if the committed entry at `index` has
@@ -262,14 +264,18 @@
                                                          std::chrono::milliseconds limit) const;
     void update_progress_map(time_point now);
     [[nodiscard]] bool member_change_allowed(time_point now) const;
-    void append_member_list(time_point now, const wire::member_list& list);
+    // `reason` and `subject`, the name of the member that the change is about, are logged.
+    void append_member_list(time_point now, const wire::member_list& list, const char* reason,
+                            const std::string& subject);
 
     replica_settings settings_;
     folder_identity identity_;
     hard_state hard_state_;
     replica_log log_;
     std::mt19937_64 random_;
-    std::unique_ptr<counters> counters_ = std::make_unique<counters>();
+    // Null if the process has given its own counters.
+    std::unique_ptr<counters> own_counters_;
+    counters* counters_;
     std::optional<error> stop_reason_;
 
     std::vector<staged_write> staged_writes_;
--- a/src/libperidotcleat/process/counters.cpp
+++ b/src/libperidotcleat/process/counters.cpp
@@ -49,6 +49,7 @@
     case event::leases_expired: return "leases_expired";
     case event::elections_started: return "elections_started";
     case event::elections_won: return "elections_won";
+    case event::elections_failed: return "elections_failed";
     case event::leader_step_downs: return "leader_step_downs";
     case event::entries_appended: return "entries_appended";
     case event::syncs: return "syncs";
--- a/src/libperidotcleat/version/replica_core.cpp
+++ b/src/libperidotcleat/version/replica_core.cpp
@@ -36,7 +36,10 @@
 
 replica_core::replica_core(replica_settings settings, stored_state stored, time_point now)
     : settings_(std::move(settings)), identity_(std::move(stored.identity)), hard_state_(stored.hard),
-      random_(settings_.seed ^ static_cast<std::uint64_t>(identity_.folder.value)), leader_quorum_at_(never),
+      random_(settings_.seed ^ static_cast<std::uint64_t>(identity_.folder.value)),
+      own_counters_(settings_.counted == nullptr ? std::make_unique<counters>() : nullptr),
+      counters_(settings_.counted == nullptr ? own_counters_.get() : settings_.counted),
+      leader_quorum_at_(never),
       // A folder without a term has never acknowledged a heartbeat, so no lease can depend on it.
       former_lease_end_(hard_state_.term == 0 ? now : now + settings_.timing.min_election_timeout),
       join_due_(now), opened_at_(now)
--- a/src/libperidotcleat/version/replica_election.cpp
+++ b/src/libperidotcleat/version/replica_election.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "peridotcleat/log.h"
 #include "peridotcleat/replica_core.h"
 
 namespace peridotcleat::pvt {
@@ -47,9 +48,22 @@
     reply.pre_vote = m.pre_vote;
     reply.voter = self();
     reply.candidate = m.candidate;
+    const auto log_refusal = [&] {
+        const char* reason = withheld ? "leader_heard" : (!up_to_date ? "log_behind" : "term_or_vote_taken");
+        log_event(log_level::info, "vote_refused",
+                  {{"candidate", to_string(from)},
+                   {"reason", reason},
+                   {"term", m.term},
+                   {"pre_vote", m.pre_vote ? "true" : "false"},
+                   {"candidate_last", m.last_index},
+                   {"last", log_.last_index()}});
+    };
     if (m.pre_vote) {
         reply.granted = !withheld && up_to_date && m.term > hard_state_.term;
         reply.term = reply.granted ? m.term : hard_state_.term;
+        if (!reply.granted) {
+            log_refusal();
+        }
         send(from, reply, out);
         return;
     }
@@ -68,6 +82,8 @@
             write_hard_state();
         }
         restart_election_timer(now);
+    } else {
+        log_refusal();
     }
     reply.term = hard_state_.term;
     if (reply.granted && now < former_lease_end_) {
@@ -99,6 +115,16 @@
 
 void replica_core::start_pre_vote(time_point now, outbox& out)
 {
+    if (role_ == role::pre_candidate || role_ == role::candidate) {
+        log_event(log_level::warning, "election_failed",
+                  {{"term", hard_state_.term},
+                   {"pre_vote", role_ == role::pre_candidate ? "true" : "false"},
+                   {"votes", static_cast<std::int64_t>(votes_.size())},
+                   {"voters", static_cast<std::int64_t>(count_voters())},
+                   {"last", log_.last_index()},
+                   {"commit", commit_index_}});
+        counters_->add(event::elections_failed);
+    }
     become_follower(hard_state_.term, now);
     role_ = role::pre_candidate;
     leader_address_.reset();
--- a/src/libperidotcleat/version/replica_members.cpp
+++ b/src/libperidotcleat/version/replica_members.cpp
@@ -3,6 +3,7 @@
 #include <set>
 #include <utility>
 
+#include "peridotcleat/log.h"
 #include "peridotcleat/replica_core.h"
 
 namespace peridotcleat::pvt {
@@ -28,6 +29,17 @@
     return it == members.end() ? nullptr : &*it;
 }
 
+std::string names_of(const wire::member_list& list, bool voters)
+{
+    std::string names;
+    for (const wire::member& m : list.members) {
+        if (m.voter == voters) {
+            names += (names.empty() ? "" : ",") + m.name;
+        }
+    }
+    return names;
+}
+
 bool contains_folder(const wire::member_list& list, std::int64_t folder)
 {
     return std::any_of(list.members.begin(), list.members.end(),
@@ -128,7 +140,7 @@
     std::erase_if(list.members, [&](const wire::member& m) { return m.name == candidate.name; });
     list.members.push_back(candidate);
     list.members.back().voter = false;
-    append_member_list(now, list);
+    append_member_list(now, list, same_name_member == nullptr ? "joined" : "folder_replaced", candidate.name);
 }
 
 const wire::member* replica_core::find_ready_learner(time_point now) const
@@ -167,7 +179,7 @@
         for (wire::member& m : list.members) {
             m.voter = m.voter || m.folder_id == ready->folder_id;
         }
-        append_member_list(now, list);
+        append_member_list(now, list, "promoted", ready->name);
     } else if (settings_.voter_count != 0) {
         remove_silent_member(now);
     }
@@ -225,11 +237,19 @@
     wire::member_list list = log_.members();
     std::erase_if(list.members,
                   [silent_member](const wire::member& m) { return m.folder_id == silent_member->folder_id; });
-    append_member_list(now, list);
+    append_member_list(now, list, "silent", silent_member->name);
 }
 
-void replica_core::append_member_list(time_point now, const wire::member_list& list)
+void replica_core::append_member_list(time_point now, const wire::member_list& list, const char* reason,
+                                      const std::string& subject)
 {
+    log_event(log_level::info, "members_changed",
+              {{"reason", reason},
+               {"subject", subject},
+               {"index", log_.last_index() + 1},
+               {"term", hard_state_.term},
+               {"voters", names_of(list, true)},
+               {"standby", names_of(list, false)}});
     append_entry(kind_members, encode_struct(list));
     update_progress_map(now);
 }
@@ -266,7 +286,7 @@
     if (!voters_left) {
         return error{error_code::invalid_setting, name + " is the last voter and cannot be removed"};
     }
-    append_member_list(now, list);
+    append_member_list(now, list, "removed_by_operator", name);
     return log_position{log_.last_index(), hard_state_.term};
 }
 
