Replicate changes that exceed one log entry in several entries

Cause: a table may hold 8,192 routes and a description 1 MiB, but a log entry holds 60,000 bytes, because it must fit a datagram. Control processes of the former release skip such a change: upgrade all of them before a description grows beyond 60,000 bytes.

--- a/src/include/peridotcleat/control.h
+++ b/src/include/peridotcleat/control.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "peridotcleat/change_assembler.h"
 #include "peridotcleat/hash.h"
 #include "peridotcleat/membership.h"
 #include "peridotcleat/operator_request_tracker.h"
@@ -247,6 +248,7 @@
         }
         table_ = value(std::move(restored));
         table_.skip_to(revision{snapshot->index});
+        change_parts_ = {};
         last_snapshot_index_ = snapshot->index;
         last_entry_time_ms_ = std::max(last_entry_time_ms_, pvt::latest_entry_time_ms(value(decoded)));
         operator_requests_.on_snapshot(table_, wall_now_);
@@ -269,7 +271,8 @@
         if (table_.current_revision() > before) {
             relay_.on_table_changed(now, table_, out);
         }
-        if (table_.current_revision().value - last_snapshot_index_ >= settings_.snapshot_after) {
+        if (table_.current_revision().value - last_snapshot_index_ >= settings_.snapshot_after &&
+            !change_parts_.inside_change()) {
             const std::int64_t index = table_.current_revision().value;
             if (has_value(replica_.compact(index, encode_struct(table_.snapshot())))) {
                 last_snapshot_index_ = index;
@@ -298,10 +301,10 @@
     {
         const revision entry_revision{entry.index};
         caught_up_ = caught_up_ || (leader_term_ != 0 && entry.term == leader_term_);
-        auto change = entry.kind == pvt::kind_change
-                          ? decode_struct<wire::change>(entry.data)
-                          : result<wire::change>(error{error_code::message_malformed,
-                                                       "the log entry holds no change of the table"});
+        const auto data = change_parts_.add(entry);
+        auto change = data ? decode_struct<wire::change>(*data)
+                           : result<wire::change>(error{error_code::message_malformed,
+                                                        "the log entry holds no change of the table"});
         if (!has_value(change)) {
             table_.skip_to(entry_revision);
             operator_requests_.on_applied(entry, {}, table_, wall_now_);
@@ -437,6 +440,7 @@
     counters* counted_;
     replica<Storage> replica_;
     table_state table_;
+    pvt::change_assembler change_parts_;
     relay relay_;
     membership membership_;
     pvt::operator_request_tracker operator_requests_;
--- a/src/include/peridotcleat/replica.h
+++ b/src/include/peridotcleat/replica.h
@@ -103,13 +103,11 @@
         return success{};
     }
 
-    /// Stages an entry of kind 1 (a change) and returns its log position. Fails with `not_leader`,
-    /// `no_quorum` (the lease is not valid), `message_too_large` or `stopped`; then the entry is not in the
-    /// log.
-    result<log_position> propose(time_point now, std::string data)
-    {
-        return core_.propose(now, std::move(data));
-    }
+    /// Stages a change and returns its log position. A change larger than `max_entry_data` takes several
+    /// consecutive entries, of kind 3 and the last one of kind 1, and the position is that of the last one;
+    /// `pvt::change_assembler` joins them. Fails with `not_leader`, `no_quorum` (the lease is not valid),
+    /// `message_too_large` (the change exceeds `max_change_data`) or `stopped`; then the log is unchanged.
+    result<log_position> propose(time_point now, const std::string& data) { return core_.propose(now, data); }
 
     /// Returns the entries that became both committed and durable on this replica since the last call, in
     /// order, each index once. Includes kinds that carry no change, so that `index` has no gaps after a
@@ -121,8 +119,8 @@
     std::optional<stored_snapshot> take_installed_snapshot() { return core_.take_installed_snapshot(); }
 
     /// Stages a snapshot of the host's state after entry `index` and removes the entries up to it. `index`
-    /// must have been returned by `take_committed` and lie after the last snapshot, otherwise fails with
-    /// `invalid_setting`. Fails with `stopped` once the replica has stopped.
+    /// must have been returned by `take_committed`, lie after the last snapshot and not be a part of a change
+    /// (kind 3), otherwise fails with `invalid_setting`. Fails with `stopped` once the replica has stopped.
     result<success> compact(std::int64_t index, std::string state)
     {
         return core_.compact(index, std::move(state));
--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -92,8 +92,11 @@
     std::int64_t index = 0;
 };
 
-/// Maximum size of the data of one log entry, in bytes.
+/// Maximum size of the data of one log entry, in bytes; an entry must fit a datagram.
 inline constexpr std::size_t max_entry_data = 60000;
+/// Maximum size of a change, in bytes; larger changes than `max_entry_data` take several entries. As large as
+/// the largest request of an operator.
+inline constexpr std::size_t max_change_data = 4 << 20;
 
 namespace pvt {
 
@@ -120,7 +123,7 @@
     /// Stops the replica permanently and returns the reason of the first stop.
     error stop(error reason);
 
-    result<log_position> propose(time_point now, std::string data);
+    result<log_position> propose(time_point now, const std::string& data);
     std::vector<wire::log_entry> take_committed();
     std::optional<stored_snapshot> take_installed_snapshot();
     result<success> compact(std::int64_t index, std::string state);
--- a/src/include/peridotcleat/replica_log.h
+++ b/src/include/peridotcleat/replica_log.h
@@ -73,6 +73,7 @@
 inline constexpr std::int8_t kind_no_op = 0;
 inline constexpr std::int8_t kind_change = 1;
 inline constexpr std::int8_t kind_members = 2;
+inline constexpr std::int8_t kind_part = 3;
 
 }  // namespace pvt
 }  // namespace peridotcleat
--- a/src/libperidotcleat/version/control_test.cpp
+++ b/src/libperidotcleat/version/control_test.cpp
@@ -2,10 +2,13 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <iostream>
+#include <iterator>
 #include <map>
+#include <random>
 
 #include "testing/control_run.h"
 
@@ -65,6 +68,81 @@
     EXPECT_TRUE(status.unreachable.empty());
 }
 
+wire::replacement replacement_with_routes(std::int64_t version, std::size_t routes)
+{
+    wire::replacement r;
+    r.version = version;
+    r.services = {"service-0"};
+    for (std::size_t i = 0; i < routes; ++i) {
+        wire::replacement_route& route = r.routes.emplace_back();
+        route.address = to_wire(endpoint{0xc6120000U + static_cast<std::uint32_t>(i), 443});
+        wire::route_backend& backend = route.backends.emplace_back();
+        backend.service_id = 0;
+        backend.weight = 1;
+    }
+    // Documents are compressed by their authors' programs; a route takes about 13 bytes of one.
+    std::mt19937_64 random(static_cast<std::uint64_t>(version));
+    std::ranges::generate_n(std::back_inserter(r.document), static_cast<std::ptrdiff_t>(routes * 13),
+                            [&] { return static_cast<char>(random()); });
+    return r;
+}
+
+// Guards against a description within the limits of a table that is refused again and again as if control
+// had no quorum, because its log entry exceeds a datagram, and against one that changes on its way through
+// the log, a restart or a snapshot.
+TEST(control, a_description_as_large_as_a_table_may_hold_is_accepted)
+{
+    cluster_shape shape;
+    shape.balancers = 1;
+    shape.agents = 0;
+    shape.snapshot_after = 32;
+    control_cluster cluster(3, shape);
+    cluster.start_all();
+    cluster.net().run_for(seconds(6));
+    std::int64_t version = 0;
+    for (const std::size_t routes : {std::size_t{1640}, std::size_t{3040}, table_state::max_routes}) {
+        auto* leader = cluster.leader();
+        ASSERT_NE(leader, nullptr);
+        const auto replacement = replacement_with_routes(++version, routes);
+        leader->role->submit_replacement(cluster.net().now(), cluster.wall(), replacement);
+        cluster.net().run_for(seconds(8));
+        const auto answers = leader->role->take_answers();
+        ASSERT_EQ(answers.size(), 1U);
+        EXPECT_EQ(answers[0].patch.status, patch_status::accepted)
+            << routes << " routes: " << answers[0].patch.reason.message;
+        const std::size_t restarted = static_cast<std::size_t>(version) % 3;
+        cluster.kill_control(restarted);
+        cluster.start_control(restarted, false);
+        cluster.net().run_for(seconds(10));
+        for (const auto& process : cluster.controls()) {
+            EXPECT_EQ(process->role->table().routes().size(), routes) << process->name;
+            EXPECT_TRUE(process->role->table().document().bytes == replacement.document) << process->name;
+        }
+        EXPECT_EQ(cluster.nodes().front()->link->table().routes().size(), routes);
+    }
+}
+
+// Guards against a description that can never be accepted but is answered as if it might be accepted later.
+TEST(control, a_description_that_no_log_entry_can_hold_is_refused_for_good)
+{
+    cluster_shape shape;
+    shape.balancers = 0;
+    shape.agents = 0;
+    control_cluster cluster(4, shape);
+    cluster.start_all();
+    cluster.net().run_for(seconds(6));
+    auto* leader = cluster.leader();
+    ASSERT_NE(leader, nullptr);
+    auto replacement = replacement_with_routes(1, 1);
+    replacement.document.resize(max_change_data + 1);
+    leader->role->submit_replacement(cluster.net().now(), cluster.wall(), replacement);
+    cluster.net().run_for(seconds(1));
+    const auto answers = leader->role->take_answers();
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].patch.status, patch_status::invalid);
+    EXPECT_EQ(answers[0].patch.reason.code, error_code::message_too_large);
+}
+
 std::uint64_t from_environment(const char* name, std::uint64_t default_value)
 {
     // Not thread-safe, but no other thread changes the environment.
--- a/src/libperidotcleat/version/operator_request_tracker.cpp
+++ b/src/libperidotcleat/version/operator_request_tracker.cpp
@@ -145,7 +145,9 @@
         return;
     }
     patch_answer a;
-    a.status = patch_status::not_accepted;
+    // The size of a change does not depend on when it is proposed, so this refusal is final.
+    a.status =
+        reason.code == error_code::message_too_large ? patch_status::invalid : patch_status::not_accepted;
     a.reason = reason;
     answer(pending.request, std::move(a));
 }
--- a/src/libperidotcleat/version/replica_core.cpp
+++ b/src/libperidotcleat/version/replica_core.cpp
@@ -143,16 +143,20 @@
     return std::nullopt;
 }
 
-result<log_position> replica_core::propose(time_point now, std::string data)
+result<log_position> replica_core::propose(time_point now, const std::string& data)
 {
     if (const auto refused = refusal(now)) {
         return *refused;
     }
-    if (data.size() > max_entry_data) {
+    if (data.size() > max_change_data) {
         return error{error_code::message_too_large,
-                     std::to_string(data.size()) + " bytes, limit " + std::to_string(max_entry_data)};
+                     std::to_string(data.size()) + " bytes, limit " + std::to_string(max_change_data)};
     }
-    append_entry(kind_change, std::move(data));
+    std::size_t position = 0;
+    for (; data.size() - position > max_entry_data; position += max_entry_data) {
+        append_entry(kind_part, data.substr(position, max_entry_data));
+    }
+    append_entry(kind_change, data.substr(position));
     return log_position{log_.last_index(), hard_state_.term};
 }
 
@@ -189,6 +193,12 @@
                                                       std::to_string(log_.base_index() + 1) + " to " +
                                                       std::to_string(delivered_index_)};
     }
+    if (index > log_.base_index() && log_.at(index).kind == kind_part) {
+        // The state after this entry does not include the first parts of a change that the next entry may
+        // complete.
+        return error{error_code::invalid_setting,
+                     "snapshot index " + std::to_string(index) + " is inside a change"};
+    }
     stored_snapshot s{index, *log_.term_at(index), log_.members_at(index), std::move(state)};
     staged_writes_.emplace_back(s);
     log_.compact(std::move(s));
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -164,7 +164,7 @@
   8: optional replacement replace
 }
 
-// `kind`: 0 no-op, 1 change, 2 members of control.
+// `kind`: 0 no-op, 1 change, 2 members of control, 3 part of a change that the next entry continues.
 struct log_entry {
   1: required i64 index
   2: required i64 term
--- a/src/testing/control_run.h
+++ b/src/testing/control_run.h
@@ -73,7 +73,7 @@
     {
         std::uint64_t sum = 0;
         for (const auto& process : cluster_.controls()) {
-            sum += process->counted.get(e) + (process->role ? process->role->log().counts().get(e) : 0);
+            sum += process->counted.get(e);
         }
         for (const auto& node : cluster_.nodes()) {
             sum += node->counted.get(e);
--- a/src/testing/fake_disk.h
+++ b/src/testing/fake_disk.h
@@ -51,6 +51,8 @@
     void flip_byte() { corrupt_ = true; }
     void fail_next_sync() { fail_sync_ = true; }
     void fail_next_write() { fail_write_ = true; }
+    /// While the disk is full, all writes fail, also those after a restart of the process.
+    void set_full(bool full) { full_ = full; }
     /// Sets the duration of the next sync. The host simulates it with the value that `take_delay` returns.
     void delay_next_sync(std::chrono::milliseconds delay) { delay_ = delay; }
     [[nodiscard]] std::chrono::milliseconds take_delay()
@@ -67,7 +69,7 @@
 
     result<success> write(pvt::staged_write w)
     {
-        if (failed_ || std::exchange(fail_write_, false)) {
+        if (failed_ || full_ || std::exchange(fail_write_, false)) {
             failed_ = true;
             return error{error_code::write_failed, "injected write failure"};
         }
@@ -131,6 +133,7 @@
     bool fail_sync_ = false;
     bool fail_write_ = false;
     bool failed_ = false;
+    bool full_ = false;
     bool corrupt_ = false;
 };
 
--- a/src/testing/replica_group.h
+++ b/src/testing/replica_group.h
@@ -31,9 +31,10 @@
         std::int64_t committed_at_read = 0;
     };
 
-    /// Creates and starts `size` replicas; `voter_count` goes into their settings.
-    replica_group(std::uint64_t seed, std::size_t size, std::size_t voter_count = 0)
-        : net(seed), voter_count_(voter_count)
+    /// Creates and starts `size` replicas; `voter_count` and `timing` go into their settings.
+    replica_group(std::uint64_t seed, std::size_t size, std::size_t voter_count = 0,
+                  const replica_timing& timing = {})
+        : net(seed), voter_count_(voter_count), timing_(timing)
     {
         net.set_tick_period(std::chrono::milliseconds(50));
         for (std::size_t i = 0; i < size; ++i) {
@@ -81,6 +82,7 @@
         s.bootstrap = true;
         s.initial_members = initial_members;
         s.voter_count = voter_count_;
+        s.timing = timing_;
         s.seed = net.random()();
         ++h.starts;
         auto opened = replica<fake_disk>::open(s, fake_disk(h.disk), net.now());
@@ -134,9 +136,9 @@
     }
 
     /// Proposes `data` at `h` and returns the log position if the proposal was accepted.
-    std::optional<log_position> propose(host& h, std::string data)
+    std::optional<log_position> propose(host& h, const std::string& data)
     {
-        const auto position = h.process->propose(net.now(), std::move(data));
+        const auto position = h.process->propose(net.now(), data);
         if (!has_value(position)) {
             return std::nullopt;
         }
@@ -195,6 +197,31 @@
         return nullptr;
     }
 
+    /// Describes the log, term and member list of each replica, for the report of a failure. In a member
+    /// list, `v` marks voters, `s` standby members and `!` folders that are lost.
+    [[nodiscard]] std::string describe() const
+    {
+        std::string text;
+        for (const host& h : hosts) {
+            text += "\n  " + h.name;
+            if (!h.process) {
+                text += " not running";
+                continue;
+            }
+            const stored_state& disk = h.disk->durable();
+            text += " term=" + std::to_string(h.process->term()) + (h.process->is_leader() ? " leader" : "") +
+                    (h.process->stopped() ? " stopped" : "") +
+                    " commit=" + std::to_string(h.process->commit_index()) + " last=" +
+                    std::to_string(!disk.entries.empty() ? disk.entries.back().index
+                                                         : (disk.snapshot ? disk.snapshot->index : 0)) +
+                    " members=";
+            for (const wire::member& m : h.process->members()) {
+                text += m.name + (m.voter ? ":v" : ":s") + (find_disk(m.folder_id) == nullptr ? "! " : " ");
+            }
+        }
+        return text;
+    }
+
     fake_network net;
     replica_checker checker;
     std::vector<host> hosts;
@@ -351,6 +378,7 @@
     }
 
     std::size_t voter_count_ = 0;
+    replica_timing timing_;
     std::vector<std::uint64_t> digests_{0};
     bool formed_ = false;
     bool wiped_while_forming_ = false;
