Change the voters of a control group only after the members concerned have confirmed that they are alive

Cause: the leader changed its member list on old signs of life, and a list in the log cannot be withdrawn. Seed 10282: a standby member lost its disk less than a second after its last reply and got a vote; with another voter lost before, two of four voters were left. Seed 14606: replies that were delayed by seconds counted as signs of life of two lost voters, so an intact silent one was removed. Ruled out: a full disk or torn record (file_storage_test, random sizes of the room left), votes withheld (the members that run have the newest log and their list has no majority). Change: the last sign of life of a member is the start of the latest round that it acknowledged, not the arrival of a reply. A promotion or removal of a voter is decided first and appended once the promoted member and a majority of the new list, or for a removal all voters that remain, have acknowledged a round that started after the decision. What is left is the time between the confirmation and the entry, a round trip.

--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -165,6 +165,8 @@
         bool probing = true;
         time_point progressed_at;
         time_point rewound_at;
+        // Start of the latest round that the member has acknowledged. A reply that was delayed shows that the
+        // member was alive when it sent the reply, not that it still is.
         time_point heard_at;
         // Snapshot transfer: index of the snapshot (0: none), acknowledged and sent bytes.
         std::int64_t snapshot_index = 0;
@@ -181,6 +183,19 @@
         std::int64_t probe_round = 0;
     };
 
+    // A change of the member list that the leader has decided on. Members whose replies count towards it have
+    // to confirm first that they are alive.
+    struct member_change {
+        wire::member_list list;
+        const char* reason = "";
+        std::string subject;
+        // Folder that must have confirmed: the promoted one, or 0 if all voters of `list` must.
+        std::int64_t required_folder = 0;
+        time_point decided_at;
+        // Round of heartbeats that starts after the decision.
+        std::int64_t round = 0;
+    };
+
     // Folder of an initial member, which was empty when it was last heard from.
     struct initial_member_folder {
         std::int64_t folder = 0;
@@ -257,7 +272,9 @@
     void send_join_request(time_point now, outbox& out);
     void add_learner(time_point now, const joiner& j);
     void maintain_members(time_point now);
-    void remove_silent_member(time_point now);
+    [[nodiscard]] std::optional<member_change> find_voter_change(time_point now) const;
+    [[nodiscard]] bool is_confirmed(const member_change& change) const;
+    void remove_silent_learner(time_point now);
     [[nodiscard]] const wire::member* find_replaceable_voter(time_point now) const;
     [[nodiscard]] bool needs_another_voter(time_point now) const;
     [[nodiscard]] std::ptrdiff_t count_voters() const;
@@ -319,6 +336,7 @@
     // By folder id.
     std::map<std::int64_t, progress> progress_;
     std::map<std::int64_t, joiner> joiners_;
+    std::optional<member_change> pending_change_;
     // Number of the last round: one numbered heartbeat to all other members, which repeat the number in their
     // replies. A round that a quorum has acknowledged confirms the leadership as of the start of the round.
     std::int64_t round_ = 0;
--- a/src/libperidotcleat/version/file_storage_test.cpp
+++ b/src/libperidotcleat/version/file_storage_test.cpp
@@ -2,8 +2,10 @@
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -229,6 +231,74 @@
     }
 }
 
+// While this object exists, the files of this process cannot grow beyond `limit` bytes. Like a disk without
+// room, a write stores the bytes that fit and then fails.
+class file_size_limit {
+public:
+    explicit file_size_limit(std::size_t limit)
+    {
+        former_handler_ = std::signal(SIGXFSZ, SIG_IGN);
+        ::getrlimit(RLIMIT_FSIZE, &former_);
+        rlimit limited = former_;
+        limited.rlim_cur = limit;
+        ::setrlimit(RLIMIT_FSIZE, &limited);
+    }
+    file_size_limit(const file_size_limit&) = delete;
+    file_size_limit& operator=(const file_size_limit&) = delete;
+    ~file_size_limit()
+    {
+        ::setrlimit(RLIMIT_FSIZE, &former_);
+        (void)std::signal(SIGXFSZ, former_handler_);
+    }
+
+private:
+    rlimit former_{};
+    void (*former_handler_)(int) = SIG_DFL;
+};
+
+// Guards against a full disk that leaves a folder which cannot be opened once there is room again, or that
+// lacks a synced entry: the write fails after any number of bytes, and the process is started again while
+// the disk is still full.
+RC_GTEST_PROP(file_storage, a_folder_opens_again_after_its_disk_was_full, ())
+{
+    const temporary_folder folder;
+    random_writer w(folder);
+    const int writes = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < writes; ++i) {
+        w.write_random();
+    }
+    w.sync();
+    w.close();
+    const std::size_t room = *rc::gen::inRange<std::size_t>(0, 600);
+    const bool in_snapshot = *rc::gen::arbitrary<bool>();
+    const auto& synced = w.expected();
+    const std::int64_t last =
+        synced.entries.empty() ? (synced.snapshot ? synced.snapshot->index : 0) : synced.entries.back().index;
+    {
+        const file_size_limit limit(folder.read("log").size() + room);
+        auto opened = file_storage::open(folder.path(), test_cluster, "a");
+        RC_ASSERT(has_value(opened) && has_value(value(opened).load()));
+        if (in_snapshot) {
+            const stored_snapshot snapshot{
+                last + 1, 1000, {}, std::string(folder.read("log").size() + 700, 's')};
+            RC_ASSERT(!has_value(value(opened).write_snapshot(snapshot)));
+        } else {
+            RC_ASSERT(has_value(value(opened).append(make_entries(last + 1, 1000, std::string(700, 'x')))));
+            RC_ASSERT(!has_value(value(opened).sync()));
+        }
+        opened = error{};
+        for (int i = 0; i < 2; ++i) {
+            auto restarted = file_storage::open(folder.path(), test_cluster, "a");
+            RC_ASSERT(has_value(restarted) && has_value(value(restarted).load()));
+        }
+    }
+    w.reopen();
+    RC_ASSERT(has_value(w.loaded()));
+    RC_ASSERT(equal(value(w.loaded()), synced));
+    w.write_random();
+    w.sync();
+}
+
 // Guards against an upgrade that rejects the data folders of the previous release, whose hard state records
 // hold the term and the vote but no commit index.
 TEST(file_storage, reads_a_hard_state_without_the_committed_index)
--- a/src/libperidotcleat/version/replica_append.cpp
+++ b/src/libperidotcleat/version/replica_append.cpp
@@ -194,8 +194,8 @@
 
 void replica_core::record_reply(time_point now, progress& p, std::int64_t round)
 {
-    p.heard_at = now;
     p.acked_round = std::max(p.acked_round, std::min(round, round_));
+    p.heard_at = std::max(p.heard_at, std::min(now, round_start_time(p.acked_round)));
 }
 
 bool replica_core::window_open(const progress& p)
--- a/src/libperidotcleat/version/replica_core.cpp
+++ b/src/libperidotcleat/version/replica_core.cpp
@@ -280,6 +280,7 @@
     proposed_initial_members_.reset();
     progress_.clear();
     joiners_.clear();
+    pending_change_.reset();
 }
 
 void replica_core::adopt_leader(std::int64_t term, const endpoint& from, time_point now)
--- a/src/libperidotcleat/version/replica_election.cpp
+++ b/src/libperidotcleat/version/replica_election.cpp
@@ -204,6 +204,7 @@
     lease_start_ = voters_lease_end_;
     progress_.clear();
     joiners_.clear();
+    pending_change_.reset();
     term_start_index_ = log_.last_index() + 1;
     if (proposed_initial_members_) {
         append_entry(kind_members, encode_struct(*proposed_initial_members_));
--- a/src/libperidotcleat/version/replica_members.cpp
+++ b/src/libperidotcleat/version/replica_members.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds learner_max_silence{1000};
 // Number of entries by which a learner may lag when it is promoted to voter.
 constexpr std::int64_t max_learner_lag = 64;
+// Several round trips between zones and a slow sync. Confirmations that are older no longer count.
+constexpr std::chrono::milliseconds confirmation_max_age{500};
 constexpr std::size_t max_joiners = 16;
 // A voter that is silent for this long, the duration of a restart, is removed if a learner can replace it.
 constexpr std::chrono::milliseconds silence_before_voter_removal{3000};
@@ -168,21 +170,75 @@
     return it == all.end() ? nullptr : &*it;
 }
 
+// A new list takes effect when it is appended and cannot be withdrawn. If a member that it counts on is lost
+// already, the list may have no majority, and the group then stands still for good. Therefore the members
+// confirm that they are alive after the decision and before the list is appended.
 void replica_core::maintain_members(time_point now)
 {
-    if (!member_change_allowed(now)) {
+    auto change = member_change_allowed(now) ? find_voter_change(now) : std::nullopt;
+    if (!change) {
+        pending_change_.reset();
+        remove_silent_learner(now);
         return;
     }
-    const wire::member* ready = find_ready_learner(now);
-    if (ready != nullptr && needs_another_voter(now)) {
-        wire::member_list list = log_.members();
-        for (wire::member& m : list.members) {
+    const bool already_pending = pending_change_ && pending_change_->list == change->list &&
+                                 now - pending_change_->decided_at < confirmation_max_age;
+    if (!already_pending) {
+        change->decided_at = now;
+        change->round = round_ + 1;
+        round_requested_ = true;
+        pending_change_ = std::move(change);
+    } else if (is_confirmed(*pending_change_)) {
+        const member_change confirmed = std::move(*pending_change_);
+        pending_change_.reset();
+        append_member_list(now, confirmed.list, confirmed.reason, confirmed.subject);
+    }
+}
+
+// Returns the promotion of a learner, or the removal of a silent voter if enough others remain.
+std::optional<replica_core::member_change> replica_core::find_voter_change(time_point now) const
+{
+    member_change change;
+    change.list = log_.members();
+    if (const wire::member* ready = find_ready_learner(now); ready != nullptr && needs_another_voter(now)) {
+        for (wire::member& m : change.list.members) {
             m.voter = m.voter || m.folder_id == ready->folder_id;
         }
-        append_member_list(now, list, "promoted", ready->name);
-    } else if (settings_.voter_count != 0) {
-        remove_silent_member(now);
+        change.reason = "promoted";
+        change.subject = ready->name;
+        change.required_folder = ready->folder_id;
+        return change;
+    }
+    if (settings_.voter_count == 0 || count_voters() <= static_cast<std::ptrdiff_t>(settings_.voter_count)) {
+        return std::nullopt;
     }
+    const wire::member* silent_voter = find_replaceable_voter(now);
+    if (silent_voter == nullptr) {
+        return std::nullopt;
+    }
+    std::erase_if(change.list.members,
+                  [silent_voter](const wire::member& m) { return m.folder_id == silent_voter->folder_id; });
+    change.reason = "silent";
+    change.subject = silent_voter->name;
+    return change;
+}
+
+// A promotion needs the promoted member and a majority of the new list, a removal all voters that remain.
+bool replica_core::is_confirmed(const member_change& change) const
+{
+    std::size_t voters = 0;
+    std::size_t confirmed = 0;
+    bool required_folder_confirmed = change.required_folder == 0;
+    for (const wire::member& m : change.list.members) {
+        const auto p = progress_.find(m.folder_id);
+        const bool alive =
+            m.folder_id == self() || (p != progress_.end() && p->second.acked_round >= change.round);
+        voters += m.voter ? 1 : 0;
+        confirmed += m.voter && alive ? 1 : 0;
+        required_folder_confirmed |= alive && m.folder_id == change.required_folder;
+    }
+    return change.required_folder == 0 ? confirmed == voters
+                                       : required_folder_confirmed && confirmed * 2 > voters;
 }
 
 // Returns the first voter that is silent for so long that another member replaces it, or null.
@@ -222,22 +278,20 @@
     });
 }
 
-// Removes at most one member per change. A silent voter is removed only if enough other voters remain.
-void replica_core::remove_silent_member(time_point now)
+// A learner counts towards no majority, so its removal needs no confirmation.
+void replica_core::remove_silent_learner(time_point now)
 {
-    const wire::member* silent_member = count_voters() > static_cast<std::ptrdiff_t>(settings_.voter_count)
-                                            ? find_replaceable_voter(now)
-                                            : nullptr;
-    if (silent_member == nullptr) {
-        silent_member = find_silent_member(now, false, silence_before_learner_removal);
+    if (settings_.voter_count == 0 || !member_change_allowed(now)) {
+        return;
     }
-    if (silent_member == nullptr) {
+    const wire::member* learner = find_silent_member(now, false, silence_before_learner_removal);
+    if (learner == nullptr) {
         return;
     }
+    const wire::member silent = *learner;
     wire::member_list list = log_.members();
-    std::erase_if(list.members,
-                  [silent_member](const wire::member& m) { return m.folder_id == silent_member->folder_id; });
-    append_member_list(now, list, "silent", silent_member->name);
+    std::erase_if(list.members, [&](const wire::member& m) { return m.folder_id == silent.folder_id; });
+    append_member_list(now, list, "silent", silent.name);
 }
 
 void replica_core::append_member_list(time_point now, const wire::member_list& list, const char* reason,
--- a/src/libperidotcleat/version/replica_test.cpp
+++ b/src/libperidotcleat/version/replica_test.cpp
@@ -301,7 +301,8 @@
         try {
             run.run();
         } catch (const std::exception& e) {
-            ADD_FAILURE() << "seed " << seed << ": " << e.what() << "\nfaults:" << run.fault_log();
+            ADD_FAILURE() << "seed " << seed << ": " << e.what() << "\nfaults:" << run.fault_log()
+                          << "\nmembers:" << run.group().describe();
             continue;
         }
         committed += static_cast<std::uint64_t>(run.group().checker.last_committed());
@@ -321,6 +322,16 @@
 // Guards against the same failures in groups where standby members replace silent voters without an operator.
 TEST(replica, invariants_hold_with_standby_members) { run_seeds(true); }
 
+// Guards against member lists without a majority: the leader gave a vote to a member that had lost its disk
+// since its last reply (seed 10282), or removed a voter because delayed replies of lost ones arrived (14606).
+TEST(replica, groups_whose_leader_counted_on_lost_members_recover)
+{
+    for (const std::uint64_t seed : {10282U, 14606U}) {
+        random_run run(seed, true);
+        EXPECT_NO_THROW(run.run()) << "seed " << seed << "\nmembers:" << run.group().describe();
+    }
+}
+
 // Runs a group without faults until it has a leader with a lease.
 replica_group::host& wait_for_leader(replica_group& group)
 {
