Keep a target whose agent is silent in the table until its flows have ended

Cause: the lease of an agent that was being restarted ran out, the table dropped its target, and a balancer that had been restarted too searched with a confirmed table in which the target was missing; all others denied the flow. Ruled out: an old table (it was confirmed after the search began). Change: after its lease a target is marked as lost (lose_target): it gets no new flows, is still asked for open ones, and leaves when another agent joins at its address or its flows are too old. Test: a_target_with_a_silent_agent_stays_known_until_its_flows_have_ended (did not compile before: there was no such state).

--- a/src/include/peridotcleat/flow_routes.h
+++ b/src/include/peridotcleat/flow_routes.h
@@ -17,6 +17,8 @@
     std::string zone;
     std::uint32_t slots = 1;
     bool draining = false;
+    /// Silent for longer than its lease; it may still hold open flows.
+    bool lost = false;
 };
 
 /// The targets of one service.
--- a/src/include/peridotcleat/membership.h
+++ b/src/include/peridotcleat/membership.h
@@ -47,8 +47,11 @@
 
 /// Durations that the leader uses for its decisions about nodes.
 struct membership_timing {
-    /// A node that no relay has heard for this long is removed from the table.
+    /// A node that no relay has heard for this long is removed from the table, or marked as lost.
     std::chrono::milliseconds lease{6000};
+    /// Time for which a target that is marked as lost stays in the table, because the upstream beside the
+    /// silent agent may still hold flows. 0: it is removed at once.
+    std::chrono::milliseconds lost_target_retention{0};
     std::chrono::milliseconds min_backoff{1000};
     std::chrono::milliseconds max_backoff{60000};
     /// The back-off of a node is halved for each such period in which the node does not join.
@@ -78,10 +81,10 @@
 
     /// Decides how to respond to an announcement. `table` must reflect all entries of earlier terms.
     announce_decision on_announce(time_point now, const wire::announce& request, const table_state& table);
-    /// Returns leave changes for nodes whose lease has expired. In each second at most a fifth of a service's
-    /// targets, or one if that is more, may be removed; the balancers together count as one service.
-    /// `own_relay` is the relay of this process, also in the functions below. Call at least every second: a
-    /// longer pause of this process restarts the leases.
+    /// Returns changes that remove nodes whose lease has expired, or mark them as lost. In each second at
+    /// most a fifth of a service's targets, or one if that is more, may be removed; the balancers together
+    /// count as one service. `own_relay` is the relay of this process, also in the functions below. Call at
+    /// least every second: a longer pause of this process restarts the leases.
     std::vector<wire::change> expire_leases(time_point now, const table_state& table, const relay& own_relay);
 
     /// Records that a proposed change was applied, with its outcome. If the change is a join, returns the
@@ -134,6 +137,8 @@
     bool consume_expiry_quota(time_point now, service_id group, std::size_t node_count);
     void record_join(time_point now, const node_key& key);
     void retire_nonce(const node_key& key, std::int64_t nonce);
+    // Returns true if a lost target has been in the table for so long that its flows have ended.
+    bool retention_elapsed(time_point now, incarnation id);
     [[nodiscard]] bool full_lease_elapsed(time_point now) const;
     [[nodiscard]] bool lease_expired(time_point now, incarnation id, const relay& own_relay) const;
 
@@ -148,6 +153,8 @@
     std::map<std::int64_t, time_point> pending_proposals_;
     // Join times of the incarnations that joined under this leader; their leases start at these times.
     std::map<incarnation, time_point> joined_at_;
+    // Since when this leader has seen each lost target in the table.
+    std::map<incarnation, time_point> lost_since_;
     // Role, endpoint and nonce of incarnations at the time when their leave or replacement was proposed.
     std::map<incarnation, std::pair<node_key, std::int64_t>> leaving_;
 };
--- a/src/include/peridotcleat/table_log.h
+++ b/src/include/peridotcleat/table_log.h
@@ -7,8 +7,8 @@
 
 namespace peridotcleat {
 
-/// Logs the targets and balancers that joined, left or started to drain, as the events `node_joined`,
-/// `node_left` and `node_draining`.
+/// Logs the targets and balancers that joined, left, started to drain or were lost, as the events
+/// `node_joined`, `node_left`, `node_draining` and `node_lost`.
 class table_log {
 public:
     /// Logs the differences between `table` and the table of the last call.
@@ -18,6 +18,7 @@
     struct entry {
         std::string name;
         bool draining = false;
+        bool lost = false;
     };
 
     void log(const char* event, incarnation id, const entry& e) const;
--- a/src/include/peridotcleat/table_state.h
+++ b/src/include/peridotcleat/table_state.h
@@ -240,6 +240,7 @@
     void join_target(revision entry_revision, const wire::target_join& join, apply_outcome& out);
     void join_node(revision entry_revision, const wire::node_join& join, apply_outcome& out);
     void drain_target(revision entry_revision, incarnation id, apply_outcome& out);
+    void lose_target(revision entry_revision, incarnation id, apply_outcome& out);
     void leave_target(revision entry_revision, incarnation id, apply_outcome& out);
     void leave_node(revision entry_revision, incarnation id, apply_outcome& out);
     void replace(revision entry_revision, const wire::replacement& replacement, wall_time now,
--- a/src/libperidotcleat/connection/flow_routes.cpp
+++ b/src/libperidotcleat/connection/flow_routes.cpp
@@ -48,7 +48,8 @@
     for (const auto& [id, target] : table.targets()) {
         if (const auto it = services.find(target.service_id); it != services.end()) {
             it->second->targets.push_back({from_wire(target.agent), target.zone,
-                                           static_cast<std::uint32_t>(target.slots), target.draining});
+                                           static_cast<std::uint32_t>(target.slots), target.draining,
+                                           target.lost});
         }
     }
     for (const auto& [number, entry] : table.routes()) {
--- a/src/libperidotcleat/version/control_test.cpp
+++ b/src/libperidotcleat/version/control_test.cpp
@@ -143,6 +143,56 @@
     EXPECT_EQ(answers[0].patch.reason.code, error_code::message_too_large);
 }
 
+// Guards against balancers that reset an open flow because the table has dropped its target, although only
+// the agent beside it was silent: the target must stay known as lost until its flows are too old. The agent
+// joins again at once when it is back, also if control has a new leader.
+TEST(control, a_target_with_a_silent_agent_stays_known_until_its_flows_have_ended)
+{
+    cluster_shape shape;
+    shape.balancers = 1;
+    shape.agents = 2;
+    shape.services = 1;
+    shape.zones = 1;
+    shape.lost_target_retention = seconds(60);
+    control_cluster cluster(7, shape);
+    cluster.start_all();
+    cluster.net().run_for(seconds(6));
+    cluster.leader()->role->submit_patch(cluster.net().now(), cluster.wall(),
+                                         add_service_patch("p", 0, control_cluster::service_name(0), 0));
+    cluster.net().run_for(seconds(6));
+    testing::node_process& agent = *cluster.nodes().back();
+    const auto targets = [&] {
+        std::vector<wire::target> found;
+        for (const auto& [id, target] : cluster.nodes().front()->link->table().targets()) {
+            if (target.name == agent.name) {
+                found.push_back(target);
+            }
+        }
+        return found;
+    };
+    ASSERT_EQ(targets().size(), 1U);
+    cluster.kill_node(agent);
+    cluster.net().run_for(seconds(9));
+    ASSERT_EQ(targets().size(), 1U);
+    EXPECT_TRUE(targets()[0].lost);
+    EXPECT_TRUE(targets()[0].draining);
+    const auto leader = static_cast<std::size_t>(cluster.leader()->address.address & 0xffffU) - 1;
+    cluster.kill_control(leader);
+    cluster.start_control(leader, false);
+    cluster.net().run_for(seconds(10));
+    cluster.start_node(agent);
+    cluster.net().run_for(seconds(5));
+    ASSERT_EQ(targets().size(), 1U);
+    EXPECT_FALSE(targets()[0].lost);
+    EXPECT_FALSE(targets()[0].draining);
+    EXPECT_TRUE(agent.link->ready());
+    cluster.kill_node(agent);
+    cluster.net().run_for(seconds(55));
+    EXPECT_EQ(targets().size(), 1U);
+    cluster.net().run_for(seconds(20));
+    EXPECT_TRUE(targets().empty());
+}
+
 std::uint64_t from_environment(const char* name, std::uint64_t default_value)
 {
     // Not thread-safe, but no other thread changes the environment.
--- a/src/libperidotcleat/version/membership.cpp
+++ b/src/libperidotcleat/version/membership.cpp
@@ -54,6 +54,7 @@
     expiry_windows_.clear();
     pending_proposals_.clear();
     joined_at_.clear();
+    lost_since_.clear();
     leaving_.clear();
 }
 
@@ -144,12 +145,14 @@
         return {std::nullopt,
                 make_reply(request, {}, error_code::join_delayed, remaining_delay + milliseconds(1))};
     }
-    if (registered && history.replacement_nonce != request.nonce) {
+    // A lost incarnation does not come back under its nonce, so its successor need not wait.
+    const bool may_be_alive = registered && !(is_target && table.targets().at(*registered).lost);
+    if (may_be_alive && history.replacement_nonce != request.nonce) {
         history.replacement_nonce = request.nonce;
         history.replacement_first_announced = now;
         return {};
     }
-    if ((registered && now - history.replacement_first_announced < replacement_delay) ||
+    if ((may_be_alive && now - history.replacement_first_announced < replacement_delay) ||
         test_and_set_pending(now, request.nonce)) {
         return {};
     }
@@ -220,7 +223,10 @@
     forget_proposal(change);
     const bool is_target = change.__isset.join_target;
     if (!is_target && !change.__isset.join_node) {
-        const std::int64_t left_id = change.__isset.leave_target ? change.leave_target : change.leave_node;
+        const std::int64_t left_id =
+            change.__isset.leave_target
+                ? change.leave_target
+                : (change.__isset.lose_target ? change.lose_target : change.leave_node);
         if (const auto it = leaving_.find(incarnation{left_id}); it != leaving_.end()) {
             retire_nonce(it->second.first, it->second.second);
             leaving_.erase(it);
@@ -253,6 +259,8 @@
         pending_proposals_.erase(change.join_node.value.nonce);
     } else if (change.__isset.leave_target) {
         pending_proposals_.erase(-change.leave_target);
+    } else if (change.__isset.lose_target) {
+        pending_proposals_.erase(-change.lose_target);
     } else if (change.__isset.leave_node) {
         pending_proposals_.erase(-change.leave_node);
     } else if (change.__isset.drain_target) {
@@ -283,6 +291,12 @@
     return true;
 }
 
+bool membership::retention_elapsed(time_point now, incarnation id)
+{
+    const auto [it, first_seen] = lost_since_.try_emplace(id, now);
+    return !first_seen && now - it->second >= timing_.lost_target_retention;
+}
+
 std::vector<wire::change> membership::expire_leases(time_point now, const table_state& table,
                                                     const relay& own_relay)
 {
@@ -295,9 +309,11 @@
         return changes;
     }
     std::erase_if(joined_at_, [&](const auto& j) { return now - j.second > timing_.lease; });
+    std::erase_if(lost_since_, [&](const auto& l) { return !table.targets().contains(l.first); });
     for (const auto& [id, target] : table.targets()) {
         const service_id service{target.service_id};
-        if (!lease_expired(now, id, own_relay) || test_and_set_pending(now, -id.value)) {
+        const bool due = target.lost ? retention_elapsed(now, id) : lease_expired(now, id, own_relay);
+        if (!due || test_and_set_pending(now, -id.value)) {
             continue;
         }
         if (!consume_expiry_quota(now, service, table.targets_of(service).size())) {
@@ -305,7 +321,11 @@
             continue;
         }
         leaving_[id] = {{node_role::target, from_wire(target.agent)}, target.nonce};
-        changes.emplace_back().__set_leave_target(id.value);
+        if (target.lost || timing_.lost_target_retention == milliseconds(0)) {
+            changes.emplace_back().__set_leave_target(id.value);
+        } else {
+            changes.emplace_back().__set_lose_target(id.value);
+        }
     }
     for (const auto& [id, node] : table.nodes()) {
         if (!lease_expired(now, id, own_relay) || test_and_set_pending(now, -id.value)) {
--- a/src/libperidotcleat/version/node_link.cpp
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -456,8 +456,11 @@
 
 bool node_link::in_table(incarnation id) const
 {
-    return settings_.role == node_role::target ? table().targets().contains(id)
-                                               : table().nodes().contains(id);
+    if (settings_.role != node_role::target) {
+        return table().nodes().contains(id);
+    }
+    const auto it = table().targets().find(id);
+    return it != table().targets().end() && !it->second.lost;
 }
 
 // Takes the node's incarnation from the table in case the announce_reply was lost, and detects the removal of
--- a/src/libperidotcleat/version/table_log.cpp
+++ b/src/libperidotcleat/version/table_log.cpp
@@ -14,15 +14,17 @@
     logged_revision_ = table.current_revision();
     std::map<incarnation, entry> current;
     for (const auto& [id, target] : table.targets()) {
-        current[id] = {target.name, target.draining};
+        current[id] = {target.name, target.draining, target.lost};
     }
     for (const auto& [id, node] : table.nodes()) {
-        current[id] = {node.name, false};
+        current[id] = {node.name, false, false};
     }
     for (const auto& [id, e] : current) {
         const auto previous = entries_.find(id);
         if (previous == entries_.end()) {
             log("node_joined", id, e);
+        } else if (e.lost && !previous->second.lost) {
+            log("node_lost", id, e);
         } else if (e.draining && !previous->second.draining) {
             log("node_draining", id, e);
         }
--- a/src/libperidotcleat/version/table_state.cpp
+++ b/src/libperidotcleat/version/table_state.cpp
@@ -128,7 +128,7 @@
 {
     const auto& s = c.__isset;
     return int{s.new_patch} + int{s.join_target} + int{s.drain_target} + int{s.leave_target} +
-           int{s.join_node} + int{s.leave_node} + int{s.replace};
+           int{s.join_node} + int{s.leave_node} + int{s.replace} + int{s.lose_target};
 }
 
 error unknown_id(const char* kind, incarnation id)
@@ -233,6 +233,8 @@
         drain_target(entry_revision, incarnation{change.drain_target}, out);
     } else if (change.__isset.leave_target) {
         leave_target(entry_revision, incarnation{change.leave_target}, out);
+    } else if (change.__isset.lose_target) {
+        lose_target(entry_revision, incarnation{change.lose_target}, out);
     } else if (change.__isset.join_node) {
         join_node(entry_revision, change.join_node, out);
     } else if (change.__isset.replace) {
@@ -304,6 +306,24 @@
     out.changed_services.push_back(service_id{t.service_id});
 }
 
+void table_state::lose_target(revision entry_revision, incarnation id, apply_outcome& out)
+{
+    const auto it = targets_.find(id);
+    if (it == targets_.end()) {
+        out.refused = unknown_id("target", id);
+        return;
+    }
+    if (it->second.lost) {
+        return;
+    }
+    wire::target t = it->second;
+    t.draining = true;
+    t.__set_lost(true);
+    t.revision = entry_revision.value;
+    put(t);
+    out.changed_services.push_back(service_id{t.service_id});
+}
+
 void table_state::leave_target(revision entry_revision, incarnation id, apply_outcome& out)
 {
     const auto it = targets_.find(id);
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -381,6 +381,11 @@
 void target::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void target::__set_lost(const bool val) {
+  this->lost = val;
+__isset.lost = true;
+}
 std::ostream& operator<<(std::ostream& out, const target& obj)
 {
   obj.printTo(out);
@@ -400,6 +405,8 @@
   swap(a.nonce, b.nonce);
   swap(a.name, b.name);
   swap(a.revision, b.revision);
+  swap(a.lost, b.lost);
+  swap(a.__isset, b.__isset);
 }
 
 target::target(const target& other22) {
@@ -413,6 +420,8 @@
   nonce = other22.nonce;
   name = other22.name;
   revision = other22.revision;
+  lost = other22.lost;
+  __isset = other22.__isset;
 }
 target::target(target&& other23) noexcept {
   incarnation = other23.incarnation;
@@ -425,6 +434,8 @@
   nonce = other23.nonce;
   name = std::move(other23.name);
   revision = other23.revision;
+  lost = other23.lost;
+  __isset = other23.__isset;
 }
 target& target::operator=(const target& other24) {
   incarnation = other24.incarnation;
@@ -437,6 +448,8 @@
   nonce = other24.nonce;
   name = other24.name;
   revision = other24.revision;
+  lost = other24.lost;
+  __isset = other24.__isset;
   return *this;
 }
 target& target::operator=(target&& other25) noexcept {
@@ -450,6 +463,8 @@
   nonce = other25.nonce;
   name = std::move(other25.name);
   revision = other25.revision;
+  lost = other25.lost;
+  __isset = other25.__isset;
   return *this;
 }
 void target::printTo(std::ostream& out) const {
@@ -465,6 +480,7 @@
   out << ", " << "nonce=" << to_string(nonce);
   out << ", " << "name=" << to_string(name);
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "lost="; (__isset.lost ? (out << to_string(lost)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1365,6 +1381,11 @@
   this->replace = val;
 __isset.replace = true;
 }
+
+void change::__set_lose_target(const int64_t val) {
+  this->lose_target = val;
+__isset.lose_target = true;
+}
 std::ostream& operator<<(std::ostream& out, const change& obj)
 {
   obj.printTo(out);
@@ -1382,6 +1403,7 @@
   swap(a.join_node, b.join_node);
   swap(a.leave_node, b.leave_node);
   swap(a.replace, b.replace);
+  swap(a.lose_target, b.lose_target);
   swap(a.__isset, b.__isset);
 }
 
@@ -1394,6 +1416,7 @@
   join_node = other114.join_node;
   leave_node = other114.leave_node;
   replace = other114.replace;
+  lose_target = other114.lose_target;
   __isset = other114.__isset;
 }
 change::change(change&& other115) noexcept {
@@ -1405,6 +1428,7 @@
   join_node = std::move(other115.join_node);
   leave_node = other115.leave_node;
   replace = std::move(other115.replace);
+  lose_target = other115.lose_target;
   __isset = other115.__isset;
 }
 change& change::operator=(const change& other116) {
@@ -1416,6 +1440,7 @@
   join_node = other116.join_node;
   leave_node = other116.leave_node;
   replace = other116.replace;
+  lose_target = other116.lose_target;
   __isset = other116.__isset;
   return *this;
 }
@@ -1428,6 +1453,7 @@
   join_node = std::move(other117.join_node);
   leave_node = other117.leave_node;
   replace = std::move(other117.replace);
+  lose_target = other117.lose_target;
   __isset = other117.__isset;
   return *this;
 }
@@ -1442,6 +1468,7 @@
   out << ", " << "join_node="; (__isset.join_node ? (out << to_string(join_node)) : (out << "<null>"));
   out << ", " << "leave_node="; (__isset.leave_node ? (out << to_string(leave_node)) : (out << "<null>"));
   out << ", " << "replace="; (__isset.replace ? (out << to_string(replace)) : (out << "<null>"));
+  out << ", " << "lose_target="; (__isset.lose_target ? (out << to_string(lose_target)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -440,6 +440,10 @@
 
 std::ostream& operator<<(std::ostream& out, const service_entry& obj);
 
+typedef struct _target__isset {
+  _target__isset() : lost(false) {}
+  bool lost :1;
+} _target__isset;
 
 class target {
  public:
@@ -457,7 +461,8 @@
            draining(0),
            nonce(0),
            name(),
-           revision(0) {
+           revision(0),
+           lost(0) {
   }
 
   virtual ~target() noexcept;
@@ -471,6 +476,9 @@
   int64_t nonce;
   std::string name;
   int64_t revision;
+  bool lost;
+
+  _target__isset __isset;
 
   void __set_incarnation(const int64_t val);
 
@@ -492,6 +500,8 @@
 
   void __set_revision(const int64_t val);
 
+  void __set_lost(const bool val);
+
   bool operator == (const target & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -514,6 +524,10 @@
       return false;
     if (!(revision == rhs.revision))
       return false;
+    if (__isset.lost != rhs.__isset.lost)
+      return false;
+    else if (__isset.lost && !(lost == rhs.lost))
+      return false;
     return true;
   }
   bool operator != (const target &rhs) const {
@@ -1273,7 +1287,7 @@
 std::ostream& operator<<(std::ostream& out, const replacement& obj);
 
 typedef struct _change__isset {
-  _change__isset() : new_patch(false), join_target(false), drain_target(false), leave_target(false), join_node(false), leave_node(false), replace(false) {}
+  _change__isset() : new_patch(false), join_target(false), drain_target(false), leave_target(false), join_node(false), leave_node(false), replace(false), lose_target(false) {}
   bool new_patch :1;
   bool join_target :1;
   bool drain_target :1;
@@ -1281,6 +1295,7 @@
   bool join_node :1;
   bool leave_node :1;
   bool replace :1;
+  bool lose_target :1;
 } _change__isset;
 
 class change {
@@ -1294,7 +1309,8 @@
          : time_ms(0),
            drain_target(0),
            leave_target(0),
-           leave_node(0) {
+           leave_node(0),
+           lose_target(0) {
   }
 
   virtual ~change() noexcept;
@@ -1306,6 +1322,7 @@
   node_join join_node;
   int64_t leave_node;
   replacement replace;
+  int64_t lose_target;
 
   _change__isset __isset;
 
@@ -1325,6 +1342,8 @@
 
   void __set_replace(const replacement& val);
 
+  void __set_lose_target(const int64_t val);
+
   bool operator == (const change & rhs) const
   {
     if (!(time_ms == rhs.time_ms))
@@ -1357,6 +1376,10 @@
       return false;
     else if (__isset.replace && !(replace == rhs.replace))
       return false;
+    if (__isset.lose_target != rhs.__isset.lose_target)
+      return false;
+    else if (__isset.lose_target && !(lose_target == rhs.lose_target))
+      return false;
     return true;
   }
   bool operator != (const change &rhs) const {
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -598,6 +598,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->lost);
+          this->__isset.lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -676,6 +684,11 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.lost) {
+    xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->lost);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2091,6 +2104,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lose_target);
+          this->__isset.lose_target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2150,6 +2171,11 @@
     xfer += this->replace.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.lose_target) {
+    xfer += oprot->writeFieldBegin("lose_target", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->lose_target);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -53,6 +53,7 @@
   8: required i64 nonce
   9: required string name
   10: required i64 revision
+  11: optional bool lost        // silent for longer than its lease; gets no new flows, but may still hold open ones
 }
 
 // One registered balancer. `incarnation` is the revision of the log entry by which it joined.
@@ -162,6 +163,7 @@
   6: optional node_join join_node
   7: optional i64 leave_node
   8: optional replacement replace
+  9: optional i64 lose_target
 }
 
 // `kind`: 0 no-op, 1 change, 2 members of control, 3 part of a change that the next entry continues.
--- a/src/testing/control_cluster.h
+++ b/src/testing/control_cluster.h
@@ -30,6 +30,7 @@
     std::int64_t snapshot_after = 4096;
     std::chrono::milliseconds tick{40};
     std::chrono::milliseconds answer_timeout{10000};
+    std::chrono::milliseconds lost_target_retention{0};
 };
 
 /// A simulated control process and its disk, whose content survives restarts.
@@ -125,6 +126,7 @@
         control_settings settings;
         settings.snapshot_after = shape_.snapshot_after;
         settings.answer_timeout = shape_.answer_timeout;
+        settings.membership.lost_target_retention = shape_.lost_target_retention;
         settings.replica.name = process.name;
         settings.replica.address = process.address;
         settings.replica.bootstrap = bootstrap;
