Send no packet of an open flow to other targets while its own may be silent

Cause: the agent beside the target was being restarted; agents that had been restarted before could not tell whether they held the flow, and each balancer that the flow moved to had them ask their targets with one of its packets. Ruled out: repeated packets within one search (at most one a target). Change: a balancer sends a packet to unsure agents only once every agent that is not lost has answered; an agent remembers the flows that its target has returned and denies them without asking again. Tests: while_an_agent_is_silent_no_other_target_gets_the_segment, a_flow_that_the_target_has_returned_is_not_passed_to_it_again, a_lost_target_gets_no_flow_but_must_deny_a_flow_before_its_reset.

--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -152,6 +152,9 @@
     std::int64_t last_target_start_ms_ = 0;
     bool stopping_ = false;
     flow_map flows_;
+    // Flows that the target has shown not to hold, with the time of that proof. An agent that has restarted
+    // need not pass further packets of such a flow to its target.
+    std::unordered_map<flow_key, time_point, flow_key_hash> denied_flows_;
     std::size_t busy_flows_ = 0;
     std::size_t reserved_flows_ = 0;
     std::size_t closing_flows_ = 0;
--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -84,7 +84,9 @@
         std::vector<endpoint> queried;
         // Agents that have answered that they do not hold the flow.
         std::vector<endpoint> absent;
-        // Agents to which the first of the waiting packets was sent.
+        // Agents that cannot tell whether their targets hold the flow and were not sent a packet yet.
+        std::vector<endpoint> unsure;
+        // Agents to which the first of the waiting packets was sent since the last query.
         std::vector<endpoint> probed;
         // Packets of the caller that are forwarded once the holder is found.
         std::vector<std::string> waiting_packets;
@@ -125,6 +127,7 @@
     void queue_queries(const flow_key& key, const flow& f);
     void on_answers(time_point now, const endpoint& from, const wire::segment_answers& answers, outbox& out);
     void on_unsure(const flow_key& key, const endpoint& from, outbox& out);
+    void send_probes(const flow_key& key, search& s, outbox& out);
     void reset_missing_flow(time_point now, flow_map::iterator it, outbox& out);
     [[nodiscard]] bool confirm_not_held(const flow_key& key, flow& f);
     void refill_query_budget(time_point now);
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -13,6 +13,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds cleanup_interval{1000};
+// About 1 MB. Further flows are passed to the target again when they are searched for.
+constexpr std::size_t max_denied_flows = 20'000;
 // Balancers that have sent nothing for longer get no load reports.
 constexpr milliseconds balancer_timeout{5000};
 // A flow that is closing is forgotten after this time without packets.
@@ -160,7 +162,8 @@
 {
     const auto it = flows_.find(key);
     if (it == flows_.end()) {
-        return knows_all_flows(now) ? segment_outcome::absent : segment_outcome::unsure;
+        return knows_all_flows(now) || denied_flows_.contains(key) ? segment_outcome::absent
+                                                                   : segment_outcome::unsure;
     }
     const flow& f = it->second;
     if (f.offered && !f.opened && !acknowledges_flow(ack_number, f.target_sequence)) {
@@ -241,6 +244,7 @@
             decline(from, s, m.packet, *reason, out);
             return;
         }
+        denied_flows_.erase(s.key);
         last_new_flow_ = now;
         ++openings_since_sample_;
     }
@@ -329,6 +333,7 @@
 void segment_agent::forget_flows()
 {
     flows_.clear();
+    denied_flows_.clear();
     reservations_.clear();
     busy_flows_ = 0;
     reserved_flows_ = 0;
@@ -427,6 +432,9 @@
         out.packets.push_back({{s.key.source.address, settings_.caller_port},
                                settings_.format.make_reset(s.key, s.ack_number)});
     } else if (f.balancer.valid() && !f.closing) {
+        if (denied_flows_.size() < max_denied_flows) {
+            denied_flows_[s.key] = now;
+        }
         auto report = make_report(s.key, segment_outcome::absent);
         if (!f.probe_is_search) {
             report.__set_packet(original);
@@ -454,6 +462,7 @@
         return;
     }
     last_cleanup_ = now;
+    std::erase_if(denied_flows_, [&](const auto& d) { return now - d.second > settings_.max_flow_age; });
     for (auto it = flows_.begin(); it != flows_.end();) {
         const flow& f = it->second;
         const auto silent = now - f.last_used;
--- a/src/libperidotcleat/connection/segment_agent_test.cpp
+++ b/src/libperidotcleat/connection/segment_agent_test.cpp
@@ -253,6 +253,22 @@
     EXPECT_EQ(resets(), 0U);
 }
 
+// Guards against packets of one open flow that a restarted agent passes to its target again for each balancer
+// that searches for the flow (rule FLOW), and against a flow that stays denied after it was opened here.
+TEST_F(segment_agent_test, a_flow_that_the_target_has_returned_is_not_passed_to_it_again)
+{
+    forward(segment_purpose::search, false, 77);
+    target_returns(false, 77);
+    out.clear();
+    EXPECT_EQ(query_flow(agent, "live"), segment_outcome::absent);
+    forward(segment_purpose::search, false, 77);
+    EXPECT_EQ(packets_to_target(), 0U);
+    EXPECT_TRUE(last_outcome_is(segment_outcome::absent));
+    EXPECT_TRUE(announce(9, 2));
+    open_flow();
+    EXPECT_EQ(query_flow(agent, "live"), segment_outcome::held);
+}
+
 // Guards against a restarted agent that delivers segments of unknown flows without end: after the greatest
 // age of a flow it knows all flows of its target.
 TEST_F(segment_agent_test, knows_all_flows_after_their_greatest_age)
--- a/src/libperidotcleat/connection/segment_balancer_test.cpp
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -279,6 +279,57 @@
     EXPECT_TRUE(sent(segment_purpose::held).empty());
 }
 
+// Guards against packets of an open flow that reach several other targets and none its own (rule FLOW): the
+// agent beside its target is being restarted and silent, and others that were restarted before are unsure.
+TEST_F(segment_balancer_test, while_an_agent_is_silent_no_other_target_gets_the_segment)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    join(agent_c, "zone-b", "live");
+    send(1, 77);
+    answer(agent_a, 1, segment_outcome::unsure);
+    answer(agent_b, 1, segment_outcome::unsure);
+    EXPECT_TRUE(sent(segment_purpose::search).empty());
+    now += milliseconds(300);
+    send(1, 77);
+    EXPECT_EQ(queried().size(), 3U);
+    answer(agent_a, 1, segment_outcome::unsure);
+    answer(agent_b, 1, segment_outcome::unsure);
+    EXPECT_TRUE(sent(segment_purpose::search).empty());
+    answer(agent_c, 1, segment_outcome::absent);
+    EXPECT_EQ(sent(segment_purpose::search), (targets{agent_a, agent_b}));
+}
+
+// Guards against the reset of an open flow whose agent is silent for longer than its lease, against new flows
+// for a lost target, and against searches that wait for it before they ask targets that may hold the flow.
+TEST_F(segment_balancer_test, a_lost_target_gets_no_flow_but_must_deny_a_flow_before_its_reset)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    join(agent_c, "zone-b", "live");
+    wire::change lost;
+    lost.time_ms = 5000;
+    lost.__set_lose_target(table.find_target(agent_c)->value);
+    table.apply(revision{++last_revision}, lost);
+    install_routes();
+    for (std::uint16_t port = 100; port < 120; ++port) {
+        open(port);
+    }
+    const auto placed = sent(segment_purpose::place);
+    EXPECT_EQ(std::ranges::count(placed, agent_c), 0);
+    send(1, 77);
+    answer(agent_a, 1, segment_outcome::unsure);
+    answer(agent_b, 1, segment_outcome::unsure);
+    EXPECT_EQ(sent(segment_purpose::search).size(), 2U);
+    report(agent_a, 1, segment_outcome::absent);
+    report(agent_b, 1, segment_outcome::absent);
+    now += milliseconds(600);
+    balancer.on_table_confirmed(now, now - milliseconds(50), out);
+    EXPECT_EQ(resets(), 0U);
+    answer(agent_c, 1, segment_outcome::absent);
+    EXPECT_EQ(resets(), 1U);
+}
+
 // Guards against searches that leave no bandwidth for new flows: after a power failure of the whole system,
 // every packet belongs to an unknown flow.
 TEST_F(segment_balancer_test, searches_are_limited_and_new_flows_are_not)
--- a/src/libperidotcleat/connection/segment_search.cpp
+++ b/src/libperidotcleat/connection/segment_search.cpp
@@ -94,6 +94,7 @@
     }
     s.last_query = now;
     s.queried = s.absent;
+    s.unsure.clear();
     s.probed.clear();
     s.waiting_packets.assign(1, std::string(packet));
     queue_queries(key, f);
@@ -176,28 +177,51 @@
     }
     if (confirm_not_held(it->first, it->second)) {
         reset_missing_flow(now, it, out);
+    } else {
+        send_probes(it->first, s, out);
     }
 }
 
 // Handles the answer of an agent that has restarted and cannot tell whether its target holds the flow.
-// Forwards the first waiting packet to the agent; the target's reaction to it shows whether it holds the
-// flow.
 void segment_balancer::on_unsure(const flow_key& key, const endpoint& from, outbox& out)
 {
     const auto it = flows_.find(key);
-    if (it == flows_.end() || !it->second.active_search || contains(it->second.active_search->probed, from)) {
+    if (it == flows_.end() || !it->second.active_search) {
         return;
     }
     search& s = *it->second.active_search;
-    s.probed.push_back(from);
+    if (!contains(s.probed, from) && !contains(s.unsure, from)) {
+        s.unsure.push_back(from);
+        send_probes(key, s, out);
+    }
+}
+
+// Forwards the first waiting packet to the agents that are unsure; the reactions of their targets show
+// whether they hold the flow. While another agent is silent, its target may hold the flow, and packets that
+// reach other targets meanwhile would be misrouted; so nothing is sent until it answers or is lost.
+void segment_balancer::send_probes(const flow_key& key, search& s, outbox& out)
+{
     const flow_route* route = routes_->find(key.destination);
-    if (route == nullptr) {
+    if (route == nullptr || s.unsure.empty()) {
         return;
     }
-    for (const flow_service* service : route->services_with_flows()) {
-        if (std::ranges::find(service->targets, from, &flow_target::agent) != service->targets.end()) {
-            forward(from, service->key, segment_purpose::search, s.waiting_packets.front(), out);
-            return;
+    const auto services = route->services_with_flows();
+    const bool any_silent = std::ranges::any_of(services, [&](const flow_service* service) {
+        return std::ranges::any_of(service->targets, [&](const flow_target& t) {
+            return !t.lost && contains(s.queried, t.agent) && !contains(s.absent, t.agent) &&
+                   !contains(s.unsure, t.agent) && !contains(s.probed, t.agent);
+        });
+    });
+    if (any_silent) {
+        return;
+    }
+    for (const endpoint& agent : std::exchange(s.unsure, {})) {
+        for (const flow_service* service : services) {
+            if (std::ranges::find(service->targets, agent, &flow_target::agent) != service->targets.end()) {
+                s.probed.push_back(agent);
+                forward(agent, service->key, segment_purpose::search, s.waiting_packets.front(), out);
+                break;
+            }
         }
     }
 }
