--- a/src/libperidotcleat/version/file_storage_test.cpp
+++ b/src/libperidotcleat/version/file_storage_test.cpp
@@ -235,9 +235,8 @@
 // room, a write stores the bytes that fit and then fails.
 class file_size_limit {
 public:
-    explicit file_size_limit(std::size_t limit)
+    explicit file_size_limit(std::size_t limit) : former_handler_(std::signal(SIGXFSZ, SIG_IGN))
     {
-        former_handler_ = std::signal(SIGXFSZ, SIG_IGN);
         ::getrlimit(RLIMIT_FSIZE, &former_);
         rlimit limited = former_;
         limited.rlim_cur = limit;
@@ -253,7 +252,7 @@
 
 private:
     rlimit former_{};
-    void (*former_handler_)(int) = SIG_DFL;
+    void (*former_handler_)(int);
 };
 
 // Guards against a full disk that leaves a folder which cannot be opened once there is room again, or that
