--- a/review/harness.py
+++ b/review/harness.py
@@ -106,7 +106,7 @@
         self.socket = None
         self.resets_sent, self.ran, self.opened_at = {}, {}, {}
         self.clock_ahead_s = 0.0
-        self.acked_pings = 0
+        self.acked_pings = self.refused_pings = 0
         # When the target last started or crashed after the set-up.
         self.disturbed_at = None
 
@@ -148,6 +148,7 @@
             status = self.bed.http("PUT", self.host, f"/api/instances/{self.instance}", json.dumps(body), 1.0)[0]
             if self.up and self.boot == boot:
                 self.acked_pings += status == 200
+                self.refused_pings += status == 409
                 self.bed.record.add("ping", host=self.host, boot=boot, sequence=self.sequence, status=status)
 
     def send(self, flags, flow, seq, ack, data=b""):
@@ -459,12 +460,18 @@
                 connection.close()
         return 0, ""
 
+    def put_once(self, body, n):
+        """Sends a manifest to the `n`th control process. Returns the status of the response, and its body."""
+        host = self.core_hosts[n % len(self.core_hosts)]
+        status, text = self.http("PUT", host, "/api/config", body, 1.0)
+        self.record.add("put_config", version=json.loads(body)["Version"], status=status, host=host, answer=text[:200])
+        return status, text
+
     def put_manifest(self, manifest, limit_s=15):
         """Sends a manifest as the operator does, until there is a clear response. Returns its status."""
         body, end, n = json.dumps(manifest), time.monotonic() + limit_s, 0
         while time.monotonic() < end:
-            status, text = self.http("PUT", self.core_hosts[n % len(self.core_hosts)], "/api/config", body, 1.0)
-            self.record.add("put_config", version=manifest["Version"], status=status, host=self.core_hosts[n % len(self.core_hosts)])
+            status, text = self.put_once(body, n)
             if status == 200 or 400 <= status < 500 and status not in (408, 421, 429):
                 return status, text
             n += 1
@@ -570,6 +577,14 @@
         """Starts everything except for the boots of the targets `later`, and sends the first manifest."""
         for host in self.machines:
             self.start(host, bootstrap=True)
+        self.start_stand_ins(later)
+        if self.put_manifest(manifest)[0] != 200:
+            raise CannotRun("the first manifest was not acknowledged")
+        if not self.wait_until(15, lambda: all(self.in_rotation.values()) and
+                               all(t.acked_pings for t in self.targets if t not in later)):
+            raise CannotRun("the fronts or the targets are not ready")
+
+    def start_stand_ins(self, later=()):
         threading.Thread(target=self.consumer_loop, daemon=True).start()
         for host in self.front_hosts:
             threading.Thread(target=self.route_loop, args=(host,), daemon=True).start()
@@ -577,11 +592,6 @@
             target.start()
             if target not in later:
                 target.start_boot()
-        if self.put_manifest(manifest)[0] != 200:
-            raise CannotRun("the first manifest was not acknowledged")
-        if not self.wait_until(15, lambda: all(self.in_rotation.values()) and 
-                               all(t.acked_pings for t in self.targets if t not in later)):
-            raise CannotRun("the fronts or the targets are not ready")
 
     def close(self):
         self.ended = True
