--- a/review/harness.py
+++ b/review/harness.py
@@ -20,6 +20,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -618,6 +619,7 @@
 def run_case(folder, case, **arguments):
     """Runs `case(bed)`, which returns a list of broken rules. Returns the exit code."""
     bed = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         bed = TestBed(folder, **arguments)
         broken = case(bed)
