--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from harness import APPLY_S, CONTACT_S, CannotRun, run_case, summary  # noqa: E402
 
-ROUTE, OTHER_ROUTE = ("198.18.0.1", 8080), ("198.18.0.2", 8443)
+ROUTE, OTHER_ROUTE = ("127.198.0.1", 8080), ("127.198.0.2", 8443)
 FORMER, NEXT = "live1", "live2"
 FLOWS = 60
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from harness import CONTACT_S, HEARTBEAT_S, CannotRun, run_case, summary  # noqa: E402
 
-ROUTE, SERVICE = ("198.18.0.1", 8080), "live1"
+ROUTE, SERVICE = ("127.198.0.1", 8080), "live1"
 # The new boot sends its first announcement half a heartbeat interval after its start.
 DOWN_S, FIRST_PING_S, OPENING_S = 0.15, HEARTBEAT_S / 2, 0.5
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from harness import CONTACT_S, CannotRun, run_case, summary  # noqa: E402
 
-ROUTE, SERVICE = ("198.18.0.1", 8080), "live1"
+ROUTE, SERVICE = ("127.198.0.1", 8080), "live1"
 CLOCK_STEP_S, KILLED_AFTER_S, AGENT_DOWN_S = 2.0, 1.8, 0.2
 
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -32,6 +32,7 @@
 # Bounds of the platform's small deployments.
 CONTACT_S, APPLY_S, DRAIN_S, MAX_FLOW_S, IDLE_S = 4.0, 3.0, 3.0, 60, 15.0
 HEARTBEAT_S = 1.2
+METRICS_PORT = 9464
 RETRANSMIT_S, MAX_RETRANSMIT_S, MAX_RETRANSMISSIONS = 0.2, 1.6, 8
 RESET_WINDOW = 76_800
 
@@ -382,7 +383,8 @@
             self.http_port, self.target_port, self.outbound_port, self.data_port = base, base + 1, base + 2, base + 3
             self.internal_port = base + 4
             try:
-                for port in range(base, base + 5):
+                # The settings template has the port of the metrics.
+                for port in (*range(base, base + 5), METRICS_PORT):
                     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                         with socket.socket(socket.AF_INET, kind) as s:
                             s.bind((f"{self.prefix}.1.1", port))
