Keep the flows of a target that restarts until the target returns them

Cause: at the first announcement of a later start of its target, an agent forgot all flows and then reported every unknown flow as absent, which balancers take as proof. A restarted target accepts flows before its first announcement, because its agent still relies on the announcements of the previous start. These flows were forgotten with the old ones. Ruled out: the search of the balancer (it reset only after all agents had answered `absent`).

Change: a restart of the target forgets nothing. Flows of the previous start end when the restarted target returns their next packet, which is proof. Until the target has sent a packet of it, a flow does not count as load. A flow that the target has returned stays known as absent, also if it had been open.

Tests, red before the change (2 of 3; the third guards the load): flows_that_a_restarted_target_accepts_before_its_first_announcement_are_held, a_flow_of_the_previous_start_of_a_target_is_reset_when_the_target_returns_it. The end of claims_a_flow_as_held_or_absent_only_if_certain stated the fault as correct (a known flow is `absent` right after the restart); it now expects `held` until the target has returned a packet, then a reset and `absent`.

--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -101,6 +101,9 @@
         bool probing = false;
         // The probing segment was part of a balancer's search.
         bool probe_is_search = false;
+        // The target has restarted and has sent no packet of the flow since then, so the flow may have ended
+        // with the previous start.
+        bool unconfirmed = false;
     };
 
     using flow_map = std::unordered_map<flow_key, flow, flow_key_hash>;
@@ -135,6 +138,8 @@
     void set_busy(flow& f, bool busy);
     void set_reserved(flow& f, bool reserved);
     void set_closing(flow& f);
+    void set_unconfirmed(flow& f, bool unconfirmed);
+    void on_target_restarted();
     void release_reservations(time_point now);
     void forget_flows();
     void erase(flow_map::iterator it);
@@ -158,6 +163,7 @@
     std::size_t busy_flows_ = 0;
     std::size_t reserved_flows_ = 0;
     std::size_t closing_flows_ = 0;
+    std::size_t unconfirmed_flows_ = 0;
     // New flows with the time at which their reservations end, in order of time.
     std::deque<std::pair<time_point, flow_key>> reservations_;
     // Average number of outstanding requests over about the last second.
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -52,13 +52,11 @@
         return false;
     }
     if (a.started_ms > last_target_start_ms_ && last_target_start_ms_ != 0) {
-        // A restarted target holds none of the flows of its previous start.
         log_event(log_level::info, "target_restarted",
                   {{"id", a.id},
                    {"started_ms", a.started_ms},
                    {"flows", static_cast<std::int64_t>(flows_.size())}});
-        forget_flows();
-        flows_known_since_ = now - settings_.max_flow_age - in_flight_margin;
+        on_target_restarted();
     }
     // An agent accepts no flow before it has acknowledged an announcement, so a target holds no flow at its
     // first announcement. An acknowledged target waits for the announcement interval before the next one, so
@@ -84,6 +82,20 @@
     return true;
 }
 
+// Keeps all flows: the restarted target may have accepted some of them before its first announcement, and it
+// returns the next packet of each flow of its previous start. Until the target reacts, a flow does not count
+// as load.
+void segment_agent::on_target_restarted()
+{
+    for (auto& [key, f] : flows_) {
+        set_busy(f, false);
+        set_reserved(f, false);
+        set_unconfirmed(f, true);
+    }
+    reservations_.clear();
+    unanswered_since_.reset();
+}
+
 void segment_agent::on_target_left(time_point now, outbox& out)
 {
     log_event(log_level::info, "target_left", {{"flows", static_cast<std::int64_t>(flows_.size())}});
@@ -338,12 +350,14 @@
     busy_flows_ = 0;
     reserved_flows_ = 0;
     closing_flows_ = 0;
+    unconfirmed_flows_ = 0;
 }
 
 void segment_agent::erase(flow_map::iterator it)
 {
     set_busy(it->second, false);
     set_reserved(it->second, false);
+    set_unconfirmed(it->second, false);
     closing_flows_ -= it->second.closing ? 1 : 0;
     flows_.erase(it);
     counted_->add(event::flows_closed);
@@ -365,6 +379,7 @@
     const auto [it, added] = flows_.try_emplace(key);
     flow& f = it->second;
     f.last_used = now;
+    set_unconfirmed(f, false);
     if (added) {
         // The flow was opened before the agent's start.
         f.first_seen = now;
@@ -421,6 +436,9 @@
                {"opens", s.opens ? "true" : "false"},
                {"opened", f.opened ? "true" : "false"},
                {"age_ms", std::chrono::duration_cast<milliseconds>(now - f.first_seen).count()}});
+    if (!s.opens && denied_flows_.size() < max_denied_flows) {
+        denied_flows_[s.key] = now;
+    }
     if (s.opens) {
         if (f.balancer.valid()) {
             decline(f.balancer, s, original, error_code::shed_by_upstream, out);
@@ -432,9 +450,6 @@
         out.packets.push_back({{s.key.source.address, settings_.caller_port},
                                settings_.format.make_reset(s.key, s.ack_number)});
     } else if (f.balancer.valid() && !f.closing) {
-        if (denied_flows_.size() < max_denied_flows) {
-            denied_flows_[s.key] = now;
-        }
         auto report = make_report(s.key, segment_outcome::absent);
         if (!f.probe_is_search) {
             report.__set_packet(original);
--- a/src/libperidotcleat/connection/segment_agent_load.cpp
+++ b/src/libperidotcleat/connection/segment_agent_load.cpp
@@ -58,9 +58,19 @@
     }
 }
 
+// A closing flow has no load anyway.
+void segment_agent::set_unconfirmed(flow& f, bool unconfirmed)
+{
+    if (f.unconfirmed != unconfirmed && !(unconfirmed && f.closing)) {
+        f.unconfirmed = unconfirmed;
+        unconfirmed_flows_ += unconfirmed ? 1 : -1;
+    }
+}
+
 void segment_agent::set_closing(flow& f)
 {
     if (!f.closing) {
+        set_unconfirmed(f, false);
         f.closing = true;
         ++closing_flows_;
         set_busy(f, false);
@@ -81,9 +91,10 @@
 
 std::int32_t segment_agent::load_permille() const
 {
-    double load = (outstanding_average_ * 1000) +
-                  (static_cast<double>(flows_.size() - closing_flows_) * open_flow_permille) +
-                  ((young_flows_ + static_cast<double>(openings_since_sample_)) * young_flow_permille);
+    double load =
+        (outstanding_average_ * 1000) +
+        (static_cast<double>(flows_.size() - closing_flows_ - unconfirmed_flows_) * open_flow_permille) +
+        ((young_flows_ + static_cast<double>(openings_since_sample_)) * young_flow_permille);
     if (target_ && last_announcement_ < warmup_end_) {
         load += cold_target_permille * target_->slots;
     }
@@ -119,7 +130,7 @@
     openings_since_sample_ = 0;
     young_flows_ = 0;
     for (const auto& [key, f] : flows_) {
-        if (now - f.first_seen < young_flow_age) {
+        if (!f.unconfirmed && now - f.first_seen < young_flow_age) {
             const std::chrono::duration<double> age = now - f.first_seen;
             young_flows_ +=
                 std::pow(young_flow_decay, age / load_sample_interval) * (f.closing ? ended_flow_weight : 1);
--- a/src/libperidotcleat/connection/segment_agent_test.cpp
+++ b/src/libperidotcleat/connection/segment_agent_test.cpp
@@ -161,8 +161,8 @@
     EXPECT_EQ(packets_to_target(), 1U);
 }
 
-// Guards against segments that are delivered to targets that cannot hold their flow: an agent that has
-// received the first announcement of its target knows all its flows.
+// Guards against answers about flows that are not certain. After a restart of the target, the flows of its
+// previous start are not absent before the target has returned one of their packets.
 TEST_F(segment_agent_test, claims_a_flow_as_held_or_absent_only_if_certain)
 {
     const auto query = [&](const std::string& service) { return query_flow(agent, service); };
@@ -172,6 +172,9 @@
     EXPECT_EQ(query("live"), segment_outcome::held);
     EXPECT_TRUE(announce(9, 1));
     out.clear();
+    EXPECT_EQ(query("live"), segment_outcome::held);
+    target_returns(false, 5001);
+    EXPECT_EQ(resets(), 1U);
     EXPECT_EQ(query("live"), segment_outcome::absent);
 }
 
@@ -221,6 +224,67 @@
     EXPECT_EQ(packets_to_target(), 0U);
 }
 
+// Guards against flows that are reset although their target holds them: a restarted target accepts flows
+// before its first announcement, while its agent still relies on the announcements of the previous start.
+TEST_F(segment_agent_test, flows_that_a_restarted_target_accepts_before_its_first_announcement_are_held)
+{
+    now += seconds(70);
+    announce(1, 6);
+    out.clear();
+    open_flow();
+    EXPECT_TRUE(announce(9, 1));
+    out.clear();
+    EXPECT_EQ(query_flow(agent, "live"), segment_outcome::held);
+    forward(segment_purpose::search, false, 5001);
+    EXPECT_EQ(packets_to_target(), 1U);
+    EXPECT_TRUE(last_outcome_is(segment_outcome::held));
+    EXPECT_EQ(resets(), 0U);
+}
+
+// Guards against callers that wait for a flow that ended with the previous start of its target: the restarted
+// target returns the next packet, and the caller gets a reset.
+TEST_F(segment_agent_test, a_flow_of_the_previous_start_of_a_target_is_reset_when_the_target_returns_it)
+{
+    open_flow();
+    EXPECT_TRUE(announce(9, 1));
+    forward(segment_purpose::held, false, 5001, "live", "request");
+    target_returns(false, 5001);
+    EXPECT_EQ(resets(), 1U);
+    EXPECT_EQ(agent.flows(), 0U);
+}
+
+// Guards against a restarted target that gets no new flows because its agent still counts the requests and
+// flows of the previous start as its load.
+TEST_F(segment_agent_test, the_load_of_a_restarted_target_excludes_flows_of_its_previous_start)
+{
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+        segment s;
+        s.key = {{0x64400001, port}, flow.destination};
+        s.ack_number = 5001;
+        wire::segment_forward m;
+        m.packet = fake_packet(s, "request");
+        m.service_key = service_key("live");
+        m.purpose = static_cast<std::int8_t>(segment_purpose::held);
+        agent.on_message(now, balancer_address, m, out);
+        s.key = reversed(s.key);
+        s.acknowledges = true;
+        agent.on_target_packet(now, fake_packet(s), out);
+        agent.on_message(now, balancer_address, m, out);
+    }
+    const auto load = [this] {
+        now += milliseconds(200);
+        out.clear();
+        agent.on_tick(now, out);
+        return std::get<wire::segment_load>(out.sends.at(0).body).load_permille;
+    };
+    EXPECT_GT(load(), 10'000);
+    EXPECT_TRUE(announce(9, 1));
+    for (int i = 0; i < 20; ++i) {
+        (void)load();
+    }
+    EXPECT_LT(load(), 1000);
+}
+
 // Guards against a delayed announcement, of an earlier start or with a lower sequence, that replaces a later
 // one.
 TEST_F(segment_agent_test, outdated_announcements_change_nothing)
