Report a flow as absent only on what the agent has observed itself

Cause: a restarted agent took two things for proof that its target holds no flow of a previous run of the agent. One is the age of the target, which is the difference of two readings of a clock that may have been set between them.

Change: `flow_coverage` decides alone when `absent` may be said of a flow that the agent does not know: the target's port was closed when the agent started and its first announcement has sequence 1, or the agent runs for longer than a flow can live. Age and sequence remain a hint: such an agent answers `unlikely`, and a balancer passes the segment to its target only after all others have denied the flow, lost ones included, within the bandwidth for queries. The port is checked once at the start of an agent. Ruled out: dropping the hint.

Tests: a_target_that_seems_to_have_just_started_is_no_proof_that_it_holds_no_flow replaces a_target_that_nobody_can_have_acknowledged_holds_no_flow, which stated the fault as correct; an_agent_that_started_before_its_target_knows_all_flows; targets_that_are_unlikely_to_hold_the_flow_get_the_segment_last and ..._wait_for_lost_ones; segments_for_unlikely_holders_leave_most_of_a_small_link_to_other_traffic.

--- a/src/include/peridotcleat/segment.h
+++ b/src/include/peridotcleat/segment.h
@@ -63,7 +63,9 @@
     /// The target certainly does not hold the flow.
     absent = 4,
     /// The agent cannot tell whether the target holds the flow; the target's reaction to a segment shows it.
-    unsure = 5
+    unsure = 5,
+    /// As `unsure`, but the target most likely does not hold the flow. This is no proof.
+    unlikely = 6
 };
 
 /// Returns the key with source and destination swapped: the caller's key for a packet to the caller, and the
--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "peridotcleat/counters.h"
+#include "peridotcleat/flow_coverage.h"
 #include "peridotcleat/hash.h"
 #include "peridotcleat/outbox.h"
 #include "peridotcleat/segment.h"
@@ -38,7 +39,8 @@
     std::string id;
     /// Time of the target's start in milliseconds; announcements of an earlier start are outdated.
     std::int64_t started_ms = 0;
-    /// Time since the target's start, by the clock of its machine; negative if that clock was set back.
+    /// Time since the target's start, by the clock of its machine; negative if that clock was set back. Only
+    /// a hint, because clocks are set.
     std::chrono::milliseconds age{std::chrono::hours(1)};
     /// 1 for the first announcement after a start of the target, then increasing.
     std::int64_t sequence = 0;
@@ -58,6 +60,8 @@
 public:
     segment_agent(segment_agent_settings settings, time_point now, counters& counted);
 
+    /// Records that the target's port was closed when the agent started. Call before the first announcement.
+    void on_port_closed_at_start() noexcept { coverage_.on_port_closed_at_start(); }
     /// Handles an announcement of the target. Returns false and changes nothing if the announcement is
     /// outdated or names another service.
     bool on_announcement(time_point now, const target_announcement& a, outbox& out);
@@ -119,7 +123,6 @@
     void on_returned(time_point now, const segment& s, std::string_view packet, outbox& out);
     [[nodiscard]] std::optional<error_code> refusal_reason(time_point now) const;
     [[nodiscard]] std::int64_t announcement_age_ms(time_point now) const;
-    [[nodiscard]] bool knows_all_flows(time_point now) const;
     void deliver(std::string_view packet, outbox& out);
     void update_flow(time_point now, flow& f, const segment& s);
     void log_admission_change(time_point now);
@@ -147,8 +150,10 @@
     segment_agent_settings settings_;
     counters* counted_;
     std::int64_t service_key_;
-    // All flows that were opened after this time are known here; earlier ones may be unknown.
-    time_point flows_known_since_;
+    // Whether a flow that is not in `flows_` certainly does not exist.
+    flow_coverage coverage_;
+    // The target seemed to have just started when the agent first heard it.
+    bool seemed_new_ = false;
     std::optional<target_announcement> target_;
     time_point last_announcement_;
     // Equal to `last_announcement_` unless the latest announcement gave a warm-up time; the target then
--- a/src/include/peridotcleat/segment_balancer.h
+++ b/src/include/peridotcleat/segment_balancer.h
@@ -86,6 +86,8 @@
         std::vector<endpoint> absent;
         // Agents that cannot tell whether their targets hold the flow and were not sent a packet yet.
         std::vector<endpoint> unsure;
+        // As `unsure`, of agents whose targets most likely do not hold the flow.
+        std::vector<endpoint> unlikely;
         // Agents to which the first of the waiting packets was sent since the last query.
         std::vector<endpoint> probed;
         // Packets of the caller that are forwarded once the holder is found.
@@ -126,8 +128,11 @@
     void continue_search(time_point now, const flow_key& key, flow& f, std::string_view packet);
     void queue_queries(const flow_key& key, const flow& f);
     void on_answers(time_point now, const endpoint& from, const wire::segment_answers& answers, outbox& out);
-    void on_unsure(const flow_key& key, const endpoint& from, outbox& out);
-    void send_probes(const flow_key& key, search& s, outbox& out);
+    void on_unsure(time_point now, flow_map::iterator it, const endpoint& from, std::vector<endpoint>& group,
+                   outbox& out);
+    void send_probes(time_point now, const flow_key& key, search& s, outbox& out);
+    void probe(const std::vector<const flow_service*>& services, search& s,
+               const std::vector<endpoint>& agents, outbox& out);
     void reset_missing_flow(time_point now, flow_map::iterator it, outbox& out);
     [[nodiscard]] bool confirm_not_held(const flow_key& key, flow& f);
     void refill_query_budget(time_point now);
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -35,7 +35,7 @@
 
 segment_agent::segment_agent(segment_agent_settings settings, time_point now, counters& counted)
     : settings_(std::move(settings)), counted_(&counted), service_key_(service_key(settings_.service)),
-      flows_known_since_(now)
+      coverage_(now, settings_.max_flow_age)
 {
 }
 
@@ -58,13 +58,13 @@
                    {"flows", static_cast<std::int64_t>(flows_.size())}});
         on_target_restarted();
     }
-    // An agent accepts no flow before it has acknowledged an announcement, so a target holds no flow at its
-    // first announcement. An acknowledged target waits for the announcement interval before the next one, so
-    // a target younger than three quarters of that interval has not been acknowledged by a previous run of
-    // the agent either and holds no flow from it.
-    const bool young = a.age >= milliseconds(0) && a.age < settings_.announcement_interval * 3 / 4;
-    if (!target_ && (a.sequence == 1 || young)) {
-        flows_known_since_ = now - settings_.max_flow_age - in_flight_margin;
+    if (last_target_start_ms_ == 0) {
+        coverage_.on_first_announcement(a.sequence);
+        // An acknowledged target waits for the announcement interval before the next one, so most likely no
+        // previous agent has admitted flows to a younger target. A clock that was set back makes it seem
+        // younger.
+        seemed_new_ =
+            a.sequence == 1 || (a.age >= milliseconds(0) && a.age < settings_.announcement_interval * 3 / 4);
     }
     const bool changed = !target_ || target_->draining != a.draining || target_->started_ms != a.started_ms;
     last_target_start_ms_ = a.started_ms;
@@ -101,7 +101,7 @@
     log_event(log_level::info, "target_left", {{"flows", static_cast<std::int64_t>(flows_.size())}});
     target_.reset();
     forget_flows();
-    flows_known_since_ = now - settings_.max_flow_age - in_flight_margin;
+    coverage_.on_target_ended();
     send_load(now, out);
 }
 
@@ -154,11 +154,6 @@
     return std::nullopt;
 }
 
-bool segment_agent::knows_all_flows(time_point now) const
-{
-    return now - flows_known_since_ >= settings_.max_flow_age + in_flight_margin;
-}
-
 void segment_agent::on_message(time_point now, const endpoint& from, const message& m, outbox& out)
 {
     if (const auto* forwarded = std::get_if<wire::segment_forward>(&m)) {
@@ -168,14 +163,16 @@
     }
 }
 
-// Returns whether the target holds the flow of a segment: `held`, `absent` or `unsure`.
+// Returns whether the target holds the flow of a segment: `held`, `absent`, `unsure` or `unlikely`.
 segment_outcome segment_agent::outcome_for(time_point now, const flow_key& key,
                                            std::uint32_t ack_number) const
 {
     const auto it = flows_.find(key);
     if (it == flows_.end()) {
-        return knows_all_flows(now) || denied_flows_.contains(key) ? segment_outcome::absent
-                                                                   : segment_outcome::unsure;
+        if (coverage_.complete(now) || denied_flows_.contains(key)) {
+            return segment_outcome::absent;
+        }
+        return seemed_new_ ? segment_outcome::unlikely : segment_outcome::unsure;
     }
     const flow& f = it->second;
     if (f.offered && !f.opened && !acknowledges_flow(ack_number, f.target_sequence)) {
--- a/src/libperidotcleat/connection/segment_agent_test.cpp
+++ b/src/libperidotcleat/connection/segment_agent_test.cpp
@@ -190,28 +190,50 @@
     EXPECT_EQ(outcome(), segment_outcome::absent);
 }
 
-// Guards against segments of lost flows that are delivered to every target after a power failure of the whole
-// system, because the agents start later than their targets and miss the first announcements. Also guards
-// against a report that a flow is absent which a previous run of the agent accepted for the same start of the
-// target.
-TEST_F(segment_agent_test, a_target_that_nobody_can_have_acknowledged_holds_no_flow)
+// Guards against a report that a flow is absent which a previous run of the agent has admitted, because the
+// target seems to have just started: its clock was set back since then, or it accepted the flow before its
+// first announcement.
+TEST_F(segment_agent_test, a_target_that_seems_to_have_just_started_is_no_proof_that_it_holds_no_flow)
 {
-    const auto outcome = [&](milliseconds age) {
+    const auto outcome = [&](milliseconds age, std::int64_t sequence) {
         segment_agent restarted(settings(), now, counted);
         target_announcement a;
         a.id = "i-1";
         a.service = "live";
         a.started_ms = 7;
-        a.sequence = 3;
+        a.sequence = sequence;
         a.age = age;
         EXPECT_TRUE(restarted.on_announcement(now, a, out));
         out.clear();
         return query_flow(restarted, "live");
     };
-    EXPECT_EQ(outcome(milliseconds(0)), segment_outcome::absent);
-    EXPECT_EQ(outcome(milliseconds(899)), segment_outcome::absent);
-    EXPECT_EQ(outcome(milliseconds(900)), segment_outcome::unsure);
-    EXPECT_EQ(outcome(milliseconds(-1)), segment_outcome::unsure);
+    EXPECT_EQ(outcome(milliseconds(0), 3), segment_outcome::unlikely);
+    EXPECT_EQ(outcome(milliseconds(899), 3), segment_outcome::unlikely);
+    EXPECT_EQ(outcome(milliseconds(900), 3), segment_outcome::unsure);
+    EXPECT_EQ(outcome(milliseconds(-1), 3), segment_outcome::unsure);
+    EXPECT_EQ(outcome(milliseconds(5000), 1), segment_outcome::unlikely);
+}
+
+// Guards against segments of lost flows that are delivered to every target for a minute after the start of
+// the system, and against an agent that takes a closed port of a running target for proof.
+TEST_F(segment_agent_test, an_agent_that_started_before_its_target_knows_all_flows)
+{
+    const auto outcome = [&](std::int64_t first_sequence) {
+        segment_agent restarted(settings(), now, counted);
+        restarted.on_port_closed_at_start();
+        EXPECT_EQ(query_flow(restarted, "live"), segment_outcome::unsure);
+        target_announcement a;
+        a.id = "i-1";
+        a.service = "live";
+        a.started_ms = 7;
+        a.sequence = first_sequence;
+        EXPECT_TRUE(restarted.on_announcement(now, a, out));
+        a.sequence = first_sequence + 1;
+        EXPECT_TRUE(restarted.on_announcement(now, a, out));
+        return query_flow(restarted, "live");
+    };
+    EXPECT_EQ(outcome(1), segment_outcome::absent);
+    EXPECT_EQ(outcome(2), segment_outcome::unsure);
 }
 
 // Guards against packets that reach another service after the address was given to another target.
--- a/src/libperidotcleat/connection/segment_balancer_test.cpp
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -300,6 +300,72 @@
     EXPECT_EQ(sent(segment_purpose::search), (targets{agent_a, agent_b}));
 }
 
+// Guards against an open flow whose packets reach many other targets, because all agents have restarted and
+// most of them beside new targets: those get the segment only after all others have denied the flow, and the
+// flow is reset only after they have, too.
+TEST_F(segment_balancer_test, targets_that_are_unlikely_to_hold_the_flow_get_the_segment_last)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    join(agent_c, "zone-b", "live");
+    send(1, 77);
+    answer(agent_b, 1, segment_outcome::unlikely);
+    answer(agent_c, 1, segment_outcome::unlikely);
+    EXPECT_TRUE(sent(segment_purpose::search).empty());
+    answer(agent_a, 1, segment_outcome::unsure);
+    EXPECT_EQ(sent(segment_purpose::search), targets{agent_a});
+    report(agent_a, 1, segment_outcome::absent);
+    EXPECT_EQ(sent(segment_purpose::search), (targets{agent_b, agent_c}));
+    balancer.on_table_confirmed(now, now, out);
+    report(agent_b, 1, segment_outcome::absent);
+    EXPECT_EQ(resets(), 0U);
+    report(agent_c, 1, segment_outcome::absent);
+    EXPECT_EQ(resets(), 1U);
+}
+
+// Guards against packets that reach targets which are unlikely to hold the flow while the flow's own agent is
+// silent, and was marked as lost for it.
+TEST_F(segment_balancer_test, targets_that_are_unlikely_to_hold_the_flow_wait_for_lost_ones)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_b, "zone-b", "live");
+    wire::change lost;
+    lost.time_ms = 5000;
+    lost.__set_lose_target(table.find_target(agent_a)->value);
+    table.apply(revision{++last_revision}, lost);
+    install_routes();
+    for (int i = 0; i < 20; ++i) {
+        send(1, 77);
+        answer(agent_b, 1, segment_outcome::unlikely);
+        now += milliseconds(200);
+    }
+    EXPECT_TRUE(sent(segment_purpose::search).empty());
+}
+
+// Guards against links that are full of segments of flows that no target holds: after a power failure of the
+// whole system most targets seem new and every packet belongs to such a flow.
+TEST_F(segment_balancer_test, segments_for_unlikely_holders_leave_most_of_a_small_link_to_other_traffic)
+{
+    constexpr std::uint32_t agents = 100;
+    for (std::uint32_t i = 0; i < agents; ++i) {
+        join({0x0a030000 + i, 7000}, "zone-a", "live");
+    }
+    std::size_t segments = 0;
+    for (std::uint16_t port = 1; port <= 200; ++port) {
+        now += milliseconds(5);
+        send(port, 77);
+        (void)queried();
+        for (std::uint32_t i = 0; i < agents; ++i) {
+            answer({0x0a030000 + i, 7000}, port, segment_outcome::unlikely);
+        }
+        segments += sent(segment_purpose::search).size();
+    }
+    constexpr std::size_t segment_bytes = 80;
+    constexpr std::size_t link_bytes_per_second = 250'000;
+    EXPECT_LT(segments * segment_bytes, link_bytes_per_second / 2);
+    EXPECT_GT(segments, agents);
+}
+
 // Guards against the reset of an open flow whose agent is silent for longer than its lease, against new flows
 // for a lost target, and against searches that wait for it before they ask targets that may hold the flow.
 TEST_F(segment_balancer_test, a_lost_target_gets_no_flow_but_must_deny_a_flow_before_its_reset)
--- a/src/libperidotcleat/connection/segment_search.cpp
+++ b/src/libperidotcleat/connection/segment_search.cpp
@@ -95,6 +95,7 @@
     s.last_query = now;
     s.queried = s.absent;
     s.unsure.clear();
+    s.unlikely.clear();
     s.probed.clear();
     s.waiting_packets.assign(1, std::string(packet));
     queue_queries(key, f);
@@ -161,7 +162,10 @@
         switch (static_cast<segment_outcome>(answer.outcome)) {
         case segment_outcome::held: on_held(now, key, from, out); break;
         case segment_outcome::absent: on_search_absent(now, it, from, out); break;
-        case segment_outcome::unsure: on_unsure(key, from, out); break;
+        case segment_outcome::unsure: on_unsure(now, it, from, it->second.active_search->unsure, out); break;
+        case segment_outcome::unlikely:
+            on_unsure(now, it, from, it->second.active_search->unlikely, out);
+            break;
         default: counted_->count_refusal(error_code::message_malformed);
         }
     }
@@ -178,44 +182,65 @@
     if (confirm_not_held(it->first, it->second)) {
         reset_missing_flow(now, it, out);
     } else {
-        send_probes(it->first, s, out);
+        send_probes(now, it->first, s, out);
     }
 }
 
 // Handles the answer of an agent that has restarted and cannot tell whether its target holds the flow.
-void segment_balancer::on_unsure(const flow_key& key, const endpoint& from, outbox& out)
+// `group` is the list of such agents in the search to which the answer assigns it.
+void segment_balancer::on_unsure(time_point now, flow_map::iterator it, const endpoint& from,
+                                 std::vector<endpoint>& group, outbox& out)
 {
-    const auto it = flows_.find(key);
-    if (it == flows_.end() || !it->second.active_search) {
-        return;
-    }
     search& s = *it->second.active_search;
-    if (!contains(s.probed, from) && !contains(s.unsure, from)) {
-        s.unsure.push_back(from);
-        send_probes(key, s, out);
+    if (!contains(s.probed, from) && !contains(s.unsure, from) && !contains(s.unlikely, from)) {
+        group.push_back(from);
+        send_probes(now, it->first, s, out);
     }
 }
 
 // Forwards the first waiting packet to the agents that are unsure; the reactions of their targets show
 // whether they hold the flow. While another agent is silent, its target may hold the flow, and packets that
 // reach other targets meanwhile would be misrouted; so nothing is sent until it answers or is lost.
-void segment_balancer::send_probes(const flow_key& key, search& s, outbox& out)
+//
+// Agents whose targets are unlikely to hold the flow come last, after all others have denied it, lost ones
+// included. After a power failure of the whole system there are many such agents and many flows that no
+// target holds, so these probes use the bandwidth for queries; without it the flow stays silent.
+void segment_balancer::send_probes(time_point now, const flow_key& key, search& s, outbox& out)
 {
     const flow_route* route = routes_->find(key.destination);
-    if (route == nullptr || s.unsure.empty()) {
+    if (route == nullptr || (s.unsure.empty() && s.unlikely.empty())) {
         return;
     }
     const auto services = route->services_with_flows();
-    const bool any_silent = std::ranges::any_of(services, [&](const flow_service* service) {
-        return std::ranges::any_of(service->targets, [&](const flow_target& t) {
-            return !t.lost && contains(s.queried, t.agent) && !contains(s.absent, t.agent) &&
-                   !contains(s.unsure, t.agent) && !contains(s.probed, t.agent);
+    const auto all_targets = [&](auto condition) {
+        return std::ranges::all_of(services, [&](const flow_service* service) {
+            return std::ranges::all_of(service->targets, condition);
         });
+    };
+    const bool all_answered = all_targets([&](const flow_target& t) {
+        return t.lost || !contains(s.queried, t.agent) || contains(s.absent, t.agent) ||
+               contains(s.unsure, t.agent) || contains(s.unlikely, t.agent) || contains(s.probed, t.agent);
     });
-    if (any_silent) {
+    if (!all_answered) {
+        return;
+    }
+    probe(services, s, std::exchange(s.unsure, {}), out);
+    const bool all_others_denied = all_targets(
+        [&](const flow_target& t) { return contains(s.absent, t.agent) || contains(s.unlikely, t.agent); });
+    refill_query_budget(now);
+    if (!all_others_denied || query_budget_ <= 0) {
         return;
     }
-    for (const endpoint& agent : std::exchange(s.unsure, {})) {
+    query_budget_ -= static_cast<double>(s.unlikely.size()) *
+                     (query_datagram_bytes + static_cast<double>(s.waiting_packets.front().size()));
+    probe(services, s, std::exchange(s.unlikely, {}), out);
+}
+
+// Forwards the first waiting packet of a search to `agents`.
+void segment_balancer::probe(const std::vector<const flow_service*>& services, search& s,
+                             const std::vector<endpoint>& agents, outbox& out)
+{
+    for (const endpoint& agent : agents) {
         for (const flow_service* service : services) {
             if (std::ranges::find(service->targets, agent, &flow_target::agent) != service->targets.end()) {
                 s.probed.push_back(agent);
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -322,7 +322,7 @@
   2: required list<segment_question> flows
 }
 
-// Agent to balancer: the answer to a query. `outcome` as in segment_report: 2, 4 or 5.
+// Agent to balancer: the answer to a query. `outcome` as in segment_report: 2, 4, 5 or 6.
 struct segment_answer {
   1: required flow_key key
   2: required i8 outcome
@@ -334,7 +334,8 @@
 }
 
 // Agent to balancer: what became of a segment.
-// `outcome`: 1 the target offers to take the flow, 2 held here, 3 declined, 4 not held here, 5 only the target knows.
+// `outcome`: 1 the target offers to take the flow, 2 held here, 3 declined, 4 not held here, 5 only the target knows,
+// 6 as 5, but most likely not held here.
 struct segment_report {
   1: required flow_key key
   2: required i64 service_key
