Keep a service that is no longer listed while flows of its former routes may be open

Cause: a replacement removed unlisted services first, with their targets, and then recorded the former service of the route by an id that was gone. A balancer without the flow in its cache searched the new service only, whose agents all denied the flow, and took that as proof. Ruled out: the search itself; with the former service still listed it finds the holder (former_services_of_a_route_are_searched_too).

Change: a replacement adds services, changes routes, and only then removes services. One that a route lists as a former service stays with its targets and is marked as retired: it gets no new flows, its agents may join again after a restart, and it is not part of the description that operators read. It is removed by the first replacement after `former_service_timeout`, and comes back under its id if it is listed again. Expired former services are now also dropped from routes that do not change.

Tests, red before: a_service_stays_while_a_route_that_left_it_may_have_flows, a_service_that_is_listed_again_keeps_its_id_and_targets (table_replace_test), a_former_service_that_is_no_longer_listed_is_searched_too (segment_balancer_test).

--- a/src/include/peridotcleat/table_state.h
+++ b/src/include/peridotcleat/table_state.h
@@ -125,7 +125,9 @@
     /// How long an address stays reserved for its former service.
     static constexpr std::chrono::seconds quarantine_time{60};
     /// How long a route lists a service that it no longer sends new flows to, so that a search for open flows
-    /// still includes this service. Longer than the minute after which callers discard flows.
+    /// still includes this service. The service stays in the table for as long, also if the description no
+    /// longer lists it. Longer than the minute after which callers discard flows, by more than the clocks of
+    /// successive leaders may differ.
     static constexpr std::chrono::seconds former_service_timeout{120};
     /// Highest numbers of services, targets and nodes at a time; more are refused with `table_full`.
     static constexpr std::size_t max_services = 4096;
@@ -245,8 +247,10 @@
     void leave_node(revision entry_revision, incarnation id, apply_outcome& out);
     void replace(revision entry_revision, const wire::replacement& replacement, wall_time now,
                  apply_outcome& out);
-    void replace_services(revision entry_revision, const wire::replacement& replacement, wall_time now,
-                          apply_outcome& out);
+    void add_services(revision entry_revision, const wire::replacement& replacement, apply_outcome& out);
+    void remove_services(revision entry_revision, const wire::replacement& replacement, wall_time now,
+                         apply_outcome& out);
+    void retire_service(revision entry_revision, service_id id, wall_time now, apply_outcome& out);
     void replace_routes(revision entry_revision, const wire::replacement& replacement, wall_time now);
 
     void remove_service(revision entry_revision, service_id id, wall_time now);
--- a/src/libperidotcleat/connection/segment_balancer_test.cpp
+++ b/src/libperidotcleat/connection/segment_balancer_test.cpp
@@ -539,6 +539,31 @@
     EXPECT_EQ(sent(segment_purpose::held), targets{agent_a});
 }
 
+// Guards against the reset of an open flow after a description moved its route to another service and no
+// longer lists the former one, whose targets still hold the flow.
+TEST_F(segment_balancer_test, a_former_service_that_is_no_longer_listed_is_searched_too)
+{
+    join(agent_a, "zone-a", "live");
+    join(agent_c, "zone-b", "chart");
+    wire::change c;
+    c.time_ms = 5000;
+    c.__set_replace(description(2, "live"));
+    c.replace.services = {"chart"};
+    table.apply(revision{++last_revision}, c);
+    install_routes();
+    open(2);
+    EXPECT_EQ(sent(segment_purpose::place), targets{agent_c});
+    send(1, 77);
+    EXPECT_EQ(queried().size(), 2U);
+    answer(agent_c, 1, segment_outcome::absent);
+    balancer.on_table_confirmed(now, now, out);
+    EXPECT_EQ(resets(), 0U);
+    answer(agent_a, 1, segment_outcome::held);
+    out.clear();
+    send(1, 78);
+    EXPECT_EQ(sent(segment_purpose::held), targets{agent_a});
+}
+
 // Guards against new flows on a route that the description in force does not have.
 TEST_F(segment_balancer_test, a_route_that_was_removed_takes_no_flow)
 {
--- a/src/libperidotcleat/version/description_print.cpp
+++ b/src/libperidotcleat/version/description_print.cpp
@@ -96,7 +96,9 @@
 {
     Array::Ptr list = new Array;
     for (const auto& item : table.services()) {
-        list->add(json_of(item.second));
+        if (!item.second.retired) {
+            list->add(json_of(item.second));
+        }
     }
     return list;
 }
--- a/src/libperidotcleat/version/table_replace.cpp
+++ b/src/libperidotcleat/version/table_replace.cpp
@@ -110,39 +110,81 @@
         out.refused = std::move(e);
         return;
     }
-    replace_services(entry_revision, replacement, now, out);
+    add_services(entry_revision, replacement, out);
     replace_routes(entry_revision, replacement, now);
+    remove_services(entry_revision, replacement, now, out);
     document_ = {replacement.version, replacement.document};
     answer.status = patch_status::accepted;
     answer.version = config_version{replacement.version};
 }
 
-void table_state::replace_services(revision entry_revision, const wire::replacement& replacement,
-                                   wall_time now, apply_outcome& out)
+void table_state::add_services(revision entry_revision, const wire::replacement& replacement,
+                               apply_outcome& out)
 {
-    std::vector<service_id> removed;
-    for (const auto& [id, entry] : services_) {
-        if (std::ranges::find(replacement.services, entry.name) == replacement.services.end()) {
-            removed.push_back(id);
-        }
-    }
-    for (const service_id id : removed) {
-        remove_service(entry_revision, id, now);
-        out.changed_services.push_back(id);
-    }
     for (const std::string& name : replacement.services) {
-        if (find_service(name)) {
+        const auto present = find_service(name);
+        if (present && !services_.at(*present).retired) {
             continue;
         }
         wire::service_entry entry;
-        entry.id = next_service_++;
-        entry.name = name;
+        if (present) {
+            entry = services_.at(*present);
+            entry.retired = false;
+            entry.__isset.retired = false;
+        } else {
+            entry.id = next_service_++;
+            entry.name = name;
+        }
         entry.revision = entry_revision.value;
         put(entry);
         out.changed_services.push_back(service_id{entry.id});
     }
 }
 
+// Removes the services that the description does not list. One that a route lists as a former service is kept
+// with its targets, which may hold open flows of the route, and counts as retired.
+void table_state::remove_services(revision entry_revision, const wire::replacement& replacement,
+                                  wall_time now, apply_outcome& out)
+{
+    std::set<std::int64_t> former_services;
+    for (const auto& [number, route] : routes_) {
+        for (const wire::route_former& former : route.formers) {
+            former_services.insert(former.service_id);
+        }
+    }
+    const std::set<std::string_view> listed(replacement.services.begin(), replacement.services.end());
+    std::vector<service_id> unlisted;
+    for (const auto& [id, entry] : services_) {
+        if (!listed.contains(entry.name)) {
+            unlisted.push_back(id);
+        }
+    }
+    for (const service_id id : unlisted) {
+        if (former_services.contains(id.value) && services_.size() <= max_services) {
+            retire_service(entry_revision, id, now, out);
+        } else {
+            remove_service(entry_revision, id, now);
+            out.changed_services.push_back(id);
+        }
+    }
+}
+
+void table_state::retire_service(revision entry_revision, service_id id, wall_time now, apply_outcome& out)
+{
+    if (services_.at(id).retired) {
+        return;
+    }
+    wire::service_entry entry = services_.at(id);
+    for (const wire::endpoint& a : entry.addresses) {
+        quarantine_address(from_wire(a), id, now);
+    }
+    entry.addresses.clear();
+    entry.__set_retired(true);
+    entry.revision = entry_revision.value;
+    put(entry);
+    out.changed_services.push_back(id);
+}
+
 void table_state::replace_routes(revision entry_revision, const wire::replacement& replacement, wall_time now)
 {
     std::map<std::int64_t, wire::route_entry> next;
@@ -170,9 +212,11 @@
         const auto present = routes_.find(id);
         if (present == routes_.end()) {
             put(entry);
-        } else if (present->second.backends != entry.backends) {
+        } else {
             keep_former_services(present->second, entry, now);
-            put(entry);
+            if (present->second.backends != entry.backends || present->second.formers != entry.formers) {
+                put(entry);
+            }
         }
     }
 }
--- a/src/libperidotcleat/version/table_replace_test.cpp
+++ b/src/libperidotcleat/version/table_replace_test.cpp
@@ -38,6 +38,22 @@
         return table.apply(revision{last_revision}, c);
     }
 
+    // Returns the incarnation of a target that joins `service`, always at the same address.
+    incarnation join(const std::string& service)
+    {
+        wire::target_join j;
+        j.value.service_id = table.find_service(service)->value;
+        j.value.agent = to_wire(endpoint{0x0a010001, 7000});
+        j.value.slots = 1;
+        j.value.connections = 1;
+        j.value.nonce = last_revision + 1;
+        j.value.name = "agent";
+        wire::change c;
+        c.time_ms = ++last_revision * 1000;
+        c.__set_join_target(j);
+        return *table.apply(revision{last_revision}, c).joined;
+    }
+
     std::int64_t last_revision = 0;
     table_state table;
 };
@@ -101,6 +117,64 @@
     EXPECT_TRUE(table.routes().begin()->second.formers.empty());
 }
 
+// Guards against the loss of the targets that hold open flows of a route when a description moves the route
+// to another service and no longer lists the former one.
+TEST_F(table_replace_test, a_service_stays_while_a_route_that_left_it_may_have_flows)
+{
+    replace(make_replacement(1, {route_to(80, 0)}));
+    const auto live_service = *table.find_service("live");
+    const auto target = join("live");
+    wire::replacement without_live = make_replacement(2, {route_to(80, 0)});
+    without_live.services = {"chart"};
+    replace(without_live);
+    EXPECT_EQ(table.targets_of(live_service), std::vector{target});
+    ASSERT_EQ(table.routes().begin()->second.formers.size(), 1U);
+    EXPECT_EQ(table.routes().begin()->second.formers[0].service_id, live_service.value);
+    // The restarted agent of a target of the former service joins again.
+    const auto restarted = join("live");
+    EXPECT_EQ(table.targets_of(live_service), std::vector{restarted});
+    // A further change that does not concern the route keeps the service, too.
+    without_live.version = 3;
+    without_live.routes.push_back(route_to(81, 0));
+    replace(without_live);
+    EXPECT_EQ(table.targets_of(live_service), std::vector{restarted});
+    // The time of a change is derived from its revision: 200 s later, after `former_service_timeout`.
+    last_revision += 200;
+    without_live.version = 4;
+    replace(without_live);
+    EXPECT_FALSE(table.find_service("live"));
+    EXPECT_TRUE(table.targets().empty());
+    EXPECT_TRUE(table.routes().begin()->second.formers.empty());
+}
+
+// Guards against a service that comes back under another id than its targets and the routes' flows have.
+TEST_F(table_replace_test, a_service_that_is_listed_again_keeps_its_id_and_targets)
+{
+    replace(make_replacement(1, {route_to(80, 0)}));
+    const auto live_service = *table.find_service("live");
+    const auto target = join("live");
+    wire::replacement without_live = make_replacement(2, {route_to(80, 0)});
+    without_live.services = {"chart"};
+    replace(without_live);
+    EXPECT_TRUE(table.services().at(live_service).retired);
+    replace(make_replacement(3, {route_to(80, 0)}));
+    EXPECT_EQ(table.find_service("live"), live_service);
+    EXPECT_FALSE(table.services().at(live_service).retired);
+    EXPECT_EQ(table.targets_of(live_service), std::vector{target});
+}
+
+// Guards against services that stay in the table although no flow can need them.
+TEST_F(table_replace_test, a_service_that_is_no_longer_listed_and_has_no_flows_is_removed)
+{
+    replace(make_replacement(1, {route_to(80, 0), route_to(81, 1)}));
+    join("chart");
+    wire::replacement without_chart = make_replacement(2, {route_to(80, 0)});
+    without_chart.services = {"live"};
+    replace(without_chart);
+    EXPECT_FALSE(table.find_service("chart"));
+    EXPECT_TRUE(table.targets().empty());
+}
+
 // Guards against copies and snapshots that differ from the table after routes were added, removed and added
 // again.
 RC_GTEST_PROP(table_replace, copies_and_snapshots_equal_the_table, ())
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -251,6 +251,11 @@
   this->placement = val;
 __isset.placement = true;
 }
+
+void service_entry::__set_retired(const bool val) {
+  this->retired = val;
+__isset.retired = true;
+}
 std::ostream& operator<<(std::ostream& out, const service_entry& obj)
 {
   obj.printTo(out);
@@ -269,6 +274,7 @@
   swap(a.ramp_ms, b.ramp_ms);
   swap(a.retry_percent, b.retry_percent);
   swap(a.placement, b.placement);
+  swap(a.retired, b.retired);
   swap(a.__isset, b.__isset);
 }
 
@@ -282,6 +288,7 @@
   ramp_ms = other18.ramp_ms;
   retry_percent = other18.retry_percent;
   placement = other18.placement;
+  retired = other18.retired;
   __isset = other18.__isset;
 }
 service_entry::service_entry(service_entry&& other19) noexcept {
@@ -294,6 +301,7 @@
   ramp_ms = other19.ramp_ms;
   retry_percent = other19.retry_percent;
   placement = other19.placement;
+  retired = other19.retired;
   __isset = other19.__isset;
 }
 service_entry& service_entry::operator=(const service_entry& other20) {
@@ -306,6 +314,7 @@
   ramp_ms = other20.ramp_ms;
   retry_percent = other20.retry_percent;
   placement = other20.placement;
+  retired = other20.retired;
   __isset = other20.__isset;
   return *this;
 }
@@ -319,6 +328,7 @@
   ramp_ms = other21.ramp_ms;
   retry_percent = other21.retry_percent;
   placement = other21.placement;
+  retired = other21.retired;
   __isset = other21.__isset;
   return *this;
 }
@@ -334,6 +344,7 @@
   out << ", " << "ramp_ms="; (__isset.ramp_ms ? (out << to_string(ramp_ms)) : (out << "<null>"));
   out << ", " << "retry_percent="; (__isset.retry_percent ? (out << to_string(retry_percent)) : (out << "<null>"));
   out << ", " << "placement="; (__isset.placement ? (out << to_string(placement)) : (out << "<null>"));
+  out << ", " << "retired="; (__isset.retired ? (out << to_string(retired)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -333,12 +333,13 @@
 std::ostream& operator<<(std::ostream& out, const flow_key& obj);
 
 typedef struct _service_entry__isset {
-  _service_entry__isset() : idle_timeout_ms(false), queue_per_slot(false), ramp_ms(false), retry_percent(false), placement(false) {}
+  _service_entry__isset() : idle_timeout_ms(false), queue_per_slot(false), ramp_ms(false), retry_percent(false), placement(false), retired(false) {}
   bool idle_timeout_ms :1;
   bool queue_per_slot :1;
   bool ramp_ms :1;
   bool retry_percent :1;
   bool placement :1;
+  bool retired :1;
 } _service_entry__isset;
 
 class service_entry {
@@ -356,7 +357,8 @@
                   queue_per_slot(0),
                   ramp_ms(0),
                   retry_percent(0),
-                  placement(0) {
+                  placement(0),
+                  retired(0) {
   }
 
   virtual ~service_entry() noexcept;
@@ -369,6 +371,7 @@
   int32_t ramp_ms;
   int32_t retry_percent;
   int32_t placement;
+  bool retired;
 
   _service_entry__isset __isset;
 
@@ -390,6 +393,8 @@
 
   void __set_placement(const int32_t val);
 
+  void __set_retired(const bool val);
+
   bool operator == (const service_entry & rhs) const
   {
     if (!(id == rhs.id))
@@ -420,6 +425,10 @@
       return false;
     else if (__isset.placement && !(placement == rhs.placement))
       return false;
+    if (__isset.retired != rhs.__isset.retired)
+      return false;
+    else if (__isset.retired && !(retired == rhs.retired))
+      return false;
     return true;
   }
   bool operator != (const service_entry &rhs) const {
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -406,6 +406,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->retired);
+          this->__isset.retired = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -481,6 +489,11 @@
     xfer += oprot->writeI32(this->placement);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.retired) {
+    xfer += oprot->writeFieldBegin("retired", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->retired);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -39,6 +39,7 @@
   7: optional i32 ramp_ms
   8: optional i32 retry_percent
   9: optional i32 placement     // 0: two candidates by load, 1: owner only
+  10: optional bool retired     // not in the description, but flows of a former route to it may be open
 }
 
 // One upstream with the agent beside it. `incarnation` is the revision of the log entry by which it joined.
