Refuse announcements that name no usable target beside the agent

Cause: the adapter decoded only the members that the agent used, and the agent compared only the name of the service.

Each refusal has a log line with its reason.

--- a/src/include/peridotcleat/result.h
+++ b/src/include/peridotcleat/result.h
@@ -81,6 +81,7 @@
     flow_limit = 619,
     search_limit = 620,
     no_table = 621,
+    wrong_target = 622,
 };
 
 /// Returns the stable name of `code`, as used in logs, counters and docs.
--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -14,6 +14,7 @@
 #include "peridotcleat/flow_coverage.h"
 #include "peridotcleat/hash.h"
 #include "peridotcleat/outbox.h"
+#include "peridotcleat/result.h"
 #include "peridotcleat/segment.h"
 
 namespace peridotcleat {
@@ -42,6 +43,8 @@
     /// Time since the target's start, by the clock of its machine; negative if that clock was set back. Only
     /// a hint, because clocks are set.
     std::chrono::milliseconds age{std::chrono::hours(1)};
+    /// Address at which the target receives packets.
+    endpoint address;
     /// 1 for the first announcement after a start of the target, then increasing.
     std::int64_t sequence = 0;
     std::string service;
@@ -62,9 +65,9 @@
 
     /// Records that the target's port was closed when the agent started. Call before the first announcement.
     void on_port_closed_at_start() noexcept { coverage_.on_port_closed_at_start(); }
-    /// Handles an announcement of the target. Returns false and changes nothing if the announcement is
-    /// outdated or names another service.
-    bool on_announcement(time_point now, const target_announcement& a, outbox& out);
+    /// Handles an announcement of the target. Fails and changes nothing with `wrong_service` or
+    /// `wrong_target` if it is that of another target, with `wrong_incarnation` if it is outdated.
+    result<success> on_announcement(time_point now, const target_announcement& a, outbox& out);
     /// Forgets the target and its flows because the target has stopped.
     void on_target_left(time_point now, outbox& out);
     /// Handles segment_forward and segment_query of a balancer; ignores other messages.
@@ -112,6 +115,7 @@
 
     using flow_map = std::unordered_map<flow_key, flow, flow_key_hash>;
 
+    [[nodiscard]] std::optional<error> refusal_of(const target_announcement& a) const;
     void on_forward(time_point now, const endpoint& from, const wire::segment_forward& m, outbox& out);
     void on_query(time_point now, const endpoint& from, const wire::segment_query& query, outbox& out);
     [[nodiscard]] segment_outcome outcome_for(time_point now, const flow_key& key,
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -39,17 +39,35 @@
 {
 }
 
-bool segment_agent::on_announcement(time_point now, const target_announcement& a, outbox& out)
+// Returns why an announcement is refused, or nothing if it is accepted.
+std::optional<error> segment_agent::refusal_of(const target_announcement& a) const
 {
-    if (a.service != settings_.service || a.started_ms < last_target_start_ms_) {
-        counted_->count_refusal(a.service != settings_.service ? error_code::wrong_service
-                                                               : error_code::wrong_incarnation);
-        return false;
+    if (a.service != settings_.service) {
+        return error{error_code::wrong_service, "the announcement names another service"};
+    }
+    if (a.address != settings_.target) {
+        return error{error_code::wrong_target,
+                     "the announcement names the address " + to_string(a.address) + " of another target"};
     }
     const bool same = target_ && target_->started_ms == a.started_ms;
-    if (same && a.sequence < target_->sequence) {
-        counted_->count_refusal(error_code::wrong_incarnation);
-        return false;
+    if (a.started_ms < last_target_start_ms_ || (same && a.sequence < target_->sequence)) {
+        return error{error_code::wrong_incarnation, "the announcement is outdated"};
+    }
+    return std::nullopt;
+}
+
+result<success> segment_agent::on_announcement(time_point now, const target_announcement& a, outbox& out)
+{
+    if (auto refusal = refusal_of(a)) {
+        counted_->count_refusal(refusal->code);
+        log_event(log_level::warning, "announcement_refused",
+                  {{"id", a.id},
+                   {"reason", to_string(refusal->code)},
+                   {"service", a.service},
+                   {"address", to_string(a.address)},
+                   {"started_ms", a.started_ms},
+                   {"sequence", a.sequence}});
+        return *refusal;
     }
     if (a.started_ms > last_target_start_ms_ && last_target_start_ms_ != 0) {
         log_event(log_level::info, "target_restarted",
@@ -79,7 +97,7 @@
                    {"flows", static_cast<std::int64_t>(flows_.size())}});
         send_load(now, out);
     }
-    return true;
+    return success{};
 }
 
 // Keeps all flows: the restarted target may have accepted some of them before its first announcement, and it
--- a/src/libperidotcleat/connection/segment_agent_test.cpp
+++ b/src/libperidotcleat/connection/segment_agent_test.cpp
@@ -36,11 +36,12 @@
         target_announcement a;
         a.id = "i-1";
         a.service = "live";
+        a.address = target_address;
         a.started_ms = started;
         a.sequence = sequence;
         a.slots = 2;
         a.draining = draining;
-        return agent.on_announcement(now, a, out);
+        return has_value(agent.on_announcement(now, a, out));
     }
 
     void forward(segment_purpose purpose, bool opens, std::uint32_t ack_number = 0,
@@ -200,10 +201,11 @@
         target_announcement a;
         a.id = "i-1";
         a.service = "live";
+        a.address = target_address;
         a.started_ms = 7;
         a.sequence = sequence;
         a.age = age;
-        EXPECT_TRUE(restarted.on_announcement(now, a, out));
+        EXPECT_TRUE(has_value(restarted.on_announcement(now, a, out)));
         out.clear();
         return query_flow(restarted, "live");
     };
@@ -225,11 +227,12 @@
         target_announcement a;
         a.id = "i-1";
         a.service = "live";
+        a.address = target_address;
         a.started_ms = 7;
         a.sequence = first_sequence;
-        EXPECT_TRUE(restarted.on_announcement(now, a, out));
+        EXPECT_TRUE(has_value(restarted.on_announcement(now, a, out)));
         a.sequence = first_sequence + 1;
-        EXPECT_TRUE(restarted.on_announcement(now, a, out));
+        EXPECT_TRUE(has_value(restarted.on_announcement(now, a, out)));
         return query_flow(restarted, "live");
     };
     EXPECT_EQ(outcome(1), segment_outcome::absent);
--- a/src/libperidotcleat/process/result.cpp
+++ b/src/libperidotcleat/process/result.cpp
@@ -65,6 +65,7 @@
     case error_code::flow_limit: return "flow_limit";
     case error_code::search_limit: return "search_limit";
     case error_code::no_table: return "no_table";
+    case error_code::wrong_target: return "wrong_target";
     }
     return "unknown";
 }
--- a/src/testing/restart_simulation.h
+++ b/src/testing/restart_simulation.h
@@ -271,6 +271,7 @@
             target_announcement a;
             a.id = "i-" + std::to_string(i);
             a.service = "live";
+            a.address = target_address(i);
             a.started_ms = 1;
             a.sequence = ++targets_[i].announcements;
             a.slots = 100;
--- a/src/testing/segment_simulation.h
+++ b/src/testing/segment_simulation.h
@@ -258,11 +258,12 @@
         target_announcement a;
         a.id = "i-" + std::to_string(i);
         a.service = "live";
+        a.address = target_address(i);
         a.started_ms = 1;
         a.sequence = ++targets_[i]->announcements;
         a.slots = fleet_.slots;
         outbox out;
-        targets_[i]->agent.on_announcement(now_, a, out);
+        (void)targets_[i]->agent.on_announcement(now_, a, out);
         dispatch_target(i, out);
     }
 
