Decide by id, silence and a closed port which start of a target an agent believes

Reasoned by the review, now shown by tests: a `DELETE` ended the flows of whichever target ran, whatever its id; an announcement that was delayed beyond it brought the target back; a target whose clock was set back was refused until its agent restarted, and so was one after an announcement with a later start by another program.

Cause: the agent believed every `DELETE`, and ordered starts by their times alone. Ruled out for the `DELETE`: comparing the id is not enough, because a target may start again under its id.

A start that has ended so is not believed again. After 2.5 announcement intervals of silence any announcement of the target's service and address is believed.

Tests: after_a_silence_any_announcement_of_the_target_is_accepted, only_the_announced_target_can_leave, a_target_that_leaves_keeps_its_flows_until_its_port_is_closed, a_target_that_has_ended_is_not_announced_again_by_a_late_message; they cannot be built on the code before, whose interface had neither the id nor the port. an_agent_that_has_not_heard_its_target_denies_nothing now also expects `unsure` between the message and the closed port.

--- a/src/include/peridotcleat/node_link.h
+++ b/src/include/peridotcleat/node_link.h
@@ -89,6 +89,8 @@
     [[nodiscard]] std::int64_t nonce() const noexcept { return nonce_; }
     /// Address of the current parent, from which the node pulls.
     [[nodiscard]] const endpoint& parent() const noexcept { return parents_[current_parent_].address; }
+    /// Addresses of all known parents, the most preferred first.
+    [[nodiscard]] std::vector<endpoint> parents() const;
     /// The announced state.
     [[nodiscard]] node_state state() const noexcept { return state_; }
     /// True from the time at which the table has reached the revision of the node's own join until it no
--- a/src/include/peridotcleat/segment_agent.h
+++ b/src/include/peridotcleat/segment_agent.h
@@ -68,8 +68,13 @@
     /// Handles an announcement of the target. Fails and changes nothing with `wrong_service` or
     /// `wrong_target` if it is that of another target, with `wrong_incarnation` if it is outdated.
     result<success> on_announcement(time_point now, const target_announcement& a, outbox& out);
-    /// Forgets the target and its flows because the target has stopped.
-    void on_target_left(time_point now, outbox& out);
+    /// Accepts no new flows because the target `id` has said that it leaves. Fails and changes nothing with
+    /// `wrong_incarnation` if another target was announced.
+    result<success> on_target_left(time_point now, std::string_view id, outbox& out);
+    /// True while the target has said that it leaves, but may still run.
+    [[nodiscard]] bool needs_port_check() const noexcept { return leaving_; }
+    /// Forgets the flows of a target that has said that it leaves, because its port is closed.
+    void on_port_closed(time_point now, outbox& out);
     /// Handles segment_forward and segment_query of a balancer; ignores other messages.
     void on_message(time_point now, const endpoint& from, const message& m, outbox& out);
     /// Handles a packet that the target has sent or returned.
@@ -113,9 +118,19 @@
         bool unconfirmed = false;
     };
 
+    // A start of the target that was announced.
+    struct start {
+        std::string id;
+        std::int64_t started_ms = 0;
+        // Of the latest announcement.
+        std::int64_t sequence = 0;
+        // The target has left, and its port was closed afterwards.
+        bool ended = false;
+    };
+
     using flow_map = std::unordered_map<flow_key, flow, flow_key_hash>;
 
-    [[nodiscard]] std::optional<error> refusal_of(const target_announcement& a) const;
+    [[nodiscard]] std::optional<error> refusal_of(time_point now, const target_announcement& a) const;
     void on_forward(time_point now, const endpoint& from, const wire::segment_forward& m, outbox& out);
     void on_query(time_point now, const endpoint& from, const wire::segment_query& query, outbox& out);
     [[nodiscard]] segment_outcome outcome_for(time_point now, const flow_key& key,
@@ -126,6 +141,7 @@
                                const wire::segment_forward& m, outbox& out);
     void on_returned(time_point now, const segment& s, std::string_view packet, outbox& out);
     [[nodiscard]] std::optional<error_code> refusal_reason(time_point now) const;
+    [[nodiscard]] std::chrono::milliseconds announcement_timeout() const;
     [[nodiscard]] std::int64_t announcement_age_ms(time_point now) const;
     void deliver(std::string_view packet, outbox& out);
     void update_flow(time_point now, flow& f, const segment& s);
@@ -163,7 +179,10 @@
     // Equal to `last_announcement_` unless the latest announcement gave a warm-up time; the target then
     // counts as slow until its next announcement.
     time_point warmup_end_;
-    std::int64_t last_target_start_ms_ = 0;
+    // The start of the latest accepted announcement; kept after the target has left.
+    std::optional<start> latest_start_;
+    // The target has said that it leaves, but may still run.
+    bool leaving_ = false;
     bool stopping_ = false;
     flow_map flows_;
     // Flows that the target has shown not to hold, with the time of that proof. An agent that has restarted
--- a/src/libperidotcleat/connection/segment_agent.cpp
+++ b/src/libperidotcleat/connection/segment_agent.cpp
@@ -40,7 +40,7 @@
 }
 
 // Returns why an announcement is refused, or nothing if it is accepted.
-std::optional<error> segment_agent::refusal_of(const target_announcement& a) const
+std::optional<error> segment_agent::refusal_of(time_point now, const target_announcement& a) const
 {
     if (a.service != settings_.service) {
         return error{error_code::wrong_service, "the announcement names another service"};
@@ -49,8 +49,15 @@
         return error{error_code::wrong_target,
                      "the announcement names the address " + to_string(a.address) + " of another target"};
     }
-    const bool same = target_ && target_->started_ms == a.started_ms;
-    if (a.started_ms < last_target_start_ms_ || (same && a.sequence < target_->sequence)) {
+    if (!latest_start_ || now - last_announcement_ > announcement_timeout()) {
+        // Nobody else claims to be the target. The order of starts by their times is not reliable enough to
+        // refuse the target for good: its clock may have been set back, or the latest start may have been
+        // announced by another program.
+        return std::nullopt;
+    }
+    const start& latest = *latest_start_;
+    const bool same = latest.started_ms == a.started_ms;
+    if (a.started_ms < latest.started_ms || (same && (latest.ended || a.sequence < latest.sequence))) {
         return error{error_code::wrong_incarnation, "the announcement is outdated"};
     }
     return std::nullopt;
@@ -58,7 +65,7 @@
 
 result<success> segment_agent::on_announcement(time_point now, const target_announcement& a, outbox& out)
 {
-    if (auto refusal = refusal_of(a)) {
+    if (auto refusal = refusal_of(now, a)) {
         counted_->count_refusal(refusal->code);
         log_event(log_level::warning, "announcement_refused",
                   {{"id", a.id},
@@ -69,14 +76,14 @@
                    {"sequence", a.sequence}});
         return *refusal;
     }
-    if (a.started_ms > last_target_start_ms_ && last_target_start_ms_ != 0) {
+    if (latest_start_ && latest_start_->started_ms != a.started_ms) {
         log_event(log_level::info, "target_restarted",
                   {{"id", a.id},
                    {"started_ms", a.started_ms},
                    {"flows", static_cast<std::int64_t>(flows_.size())}});
         on_target_restarted();
     }
-    if (last_target_start_ms_ == 0) {
+    if (!latest_start_) {
         coverage_.on_first_announcement(a.sequence);
         // An acknowledged target waits for the announcement interval before the next one, so most likely no
         // previous agent has admitted flows to a younger target. A clock that was set back makes it seem
@@ -85,8 +92,9 @@
             a.sequence == 1 || (a.age >= milliseconds(0) && a.age < settings_.announcement_interval * 3 / 4);
     }
     const bool changed = !target_ || target_->draining != a.draining || target_->started_ms != a.started_ms;
-    last_target_start_ms_ = a.started_ms;
+    latest_start_ = {a.id, a.started_ms, a.sequence, false};
     target_ = a;
+    leaving_ = false;
     last_announcement_ = now;
     warmup_end_ = now + a.warmup;
     if (changed) {
@@ -114,10 +122,34 @@
     unanswered_since_.reset();
 }
 
-void segment_agent::on_target_left(time_point now, outbox& out)
+result<success> segment_agent::on_target_left(time_point now, std::string_view id, outbox& out)
 {
-    log_event(log_level::info, "target_left", {{"flows", static_cast<std::int64_t>(flows_.size())}});
+    if (latest_start_ && latest_start_->id != id) {
+        counted_->count_refusal(error_code::wrong_incarnation);
+        log_event(log_level::warning, "leave_refused",
+                  {{"id", std::string(id)}, {"target", latest_start_->id}});
+        return error{error_code::wrong_incarnation, "another target runs beside the agent"};
+    }
+    log_event(log_level::info, "target_left",
+              {{"id", std::string(id)}, {"flows", static_cast<std::int64_t>(flows_.size())}});
     target_.reset();
+    leaving_ = true;
+    send_load(now, out);
+    return success{};
+}
+
+// The id of a target that left may be that of a later start, so its flows have ended only if no process
+// listens at its port.
+void segment_agent::on_port_closed(time_point now, outbox& out)
+{
+    if (!leaving_) {
+        return;
+    }
+    log_event(log_level::info, "target_ended", {{"flows", static_cast<std::int64_t>(flows_.size())}});
+    leaving_ = false;
+    if (latest_start_) {
+        latest_start_->ended = true;
+    }
     forget_flows();
     coverage_.on_target_ended();
     send_load(now, out);
@@ -154,12 +186,15 @@
     return target_ ? std::chrono::duration_cast<milliseconds>(now - last_announcement_).count() : -1;
 }
 
+// Time without an announcement after which the target counts as silent.
+milliseconds segment_agent::announcement_timeout() const { return settings_.announcement_interval * 5 / 2; }
+
 std::optional<error_code> segment_agent::refusal_reason(time_point now) const
 {
     if (stopping_) {
         return error_code::stopped;
     }
-    if (!target_ || now - last_announcement_ > settings_.announcement_interval * 5 / 2) {
+    if (!target_ || now - last_announcement_ > announcement_timeout()) {
         return error_code::upstream_unreachable;
     }
     if (target_->draining) {
--- a/src/libperidotcleat/connection/segment_agent_test.cpp
+++ b/src/libperidotcleat/connection/segment_agent_test.cpp
@@ -186,7 +186,10 @@
     segment_agent restarted(settings(), now, counted);
     const auto outcome = [&] { return query_flow(restarted, "live"); };
     EXPECT_EQ(outcome(), segment_outcome::unsure);
-    restarted.on_target_left(now, out);
+    EXPECT_TRUE(has_value(restarted.on_target_left(now, "i-1", out)));
+    out.clear();
+    EXPECT_EQ(outcome(), segment_outcome::unsure);
+    restarted.on_port_closed(now, out);
     out.clear();
     EXPECT_EQ(outcome(), segment_outcome::absent);
 }
@@ -321,6 +324,63 @@
     EXPECT_TRUE(agent.target()->draining);
 }
 
+// Guards against a target that its agent refuses until the agent restarts, because the clock was set back
+// before the target restarted, or because another program has announced a later start of it.
+TEST_F(segment_agent_test, after_a_silence_any_announcement_of_the_target_is_accepted)
+{
+    EXPECT_TRUE(announce(9, 7));
+    now += milliseconds(1200);
+    EXPECT_FALSE(announce(2, 1));
+    EXPECT_FALSE(announce(9, 6));
+    now += milliseconds(1900);
+    EXPECT_TRUE(announce(2, 1));
+    EXPECT_EQ(agent.target()->started_ms, 2);
+    EXPECT_TRUE(announce(2, 2));
+    EXPECT_FALSE(announce(1, 50));
+}
+
+// Guards against a late message of a former start that ends the flows of the target in use.
+TEST_F(segment_agent_test, only_the_announced_target_can_leave)
+{
+    open_flow();
+    EXPECT_EQ(failure(agent.on_target_left(now, "i-former", out)).code, error_code::wrong_incarnation);
+    EXPECT_TRUE(agent.target());
+    EXPECT_FALSE(agent.needs_port_check());
+    out.clear();
+    EXPECT_EQ(query_flow(agent, "live"), segment_outcome::held);
+}
+
+// Guards against flows that are reset while their target still runs: it has said that it leaves, but its port
+// is open, or it is a later start that has taken over the id of the one that left.
+TEST_F(segment_agent_test, a_target_that_leaves_keeps_its_flows_until_its_port_is_closed)
+{
+    open_flow();
+    EXPECT_TRUE(has_value(agent.on_target_left(now, "i-1", out)));
+    EXPECT_FALSE(agent.target());
+    EXPECT_TRUE(agent.needs_port_check());
+    out.clear();
+    EXPECT_EQ(query_flow(agent, "live"), segment_outcome::held);
+    EXPECT_TRUE(announce(9, 1));
+    EXPECT_FALSE(agent.needs_port_check());
+    out.clear();
+    EXPECT_EQ(query_flow(agent, "live"), segment_outcome::held);
+    EXPECT_TRUE(has_value(agent.on_target_left(now, "i-1", out)));
+    agent.on_port_closed(now, out);
+    EXPECT_FALSE(agent.needs_port_check());
+    out.clear();
+    EXPECT_EQ(query_flow(agent, "live"), segment_outcome::absent);
+}
+
+// Guards against a target that has ended and is used again because one of its announcements was delayed.
+TEST_F(segment_agent_test, a_target_that_has_ended_is_not_announced_again_by_a_late_message)
+{
+    EXPECT_TRUE(has_value(agent.on_target_left(now, "i-1", out)));
+    agent.on_port_closed(now, out);
+    EXPECT_FALSE(announce(1, 6));
+    EXPECT_FALSE(agent.target());
+    EXPECT_TRUE(announce(9, 1));
+}
+
 // Guards against open flows that break when only the agent restarts: the segment is delivered to the target,
 // which still knows the flow.
 TEST_F(segment_agent_test, after_a_restart_the_target_is_asked)
--- a/src/libperidotcleat/version/node_link.cpp
+++ b/src/libperidotcleat/version/node_link.cpp
@@ -100,6 +100,13 @@
     }
 }
 
+std::vector<endpoint> node_link::parents() const
+{
+    std::vector<endpoint> addresses;
+    std::ranges::transform(parents_, std::back_inserter(addresses), &parent_state::address);
+    return addresses;
+}
+
 // The set of control processes changes at run time. The node pulls from those that are listed now, and keeps
 // the parents of the settings as a fallback.
 void node_link::update_discovered_parents(const std::vector<wire::endpoint>& addresses)
