Answer HTTP requests at once when the event loop has ended

Operators and targets could wait 5 s, and the process took up to 5 s longer to stop, close to its grace period of 6 s: `event_loop::call` waited for a task that the ended loop never ran (reasoned by the review; shown by the new test: 5.0 s for each of two calls).

Change: `run` drops the remaining tasks when it ends, and a dropped or late task answers 503 `stopped`. Test: event_loop.a_call_at_a_loop_that_ends_is_answered_at_once, 10,001 ms and red before, 100 ms now.

--- a/src/include/peridotcleat/event_loop.h
+++ b/src/include/peridotcleat/event_loop.h
@@ -53,10 +53,12 @@
     /// Fails with `address_in_use`.
     result<success> listen(const endpoint& address, datagram_handler handle);
 
-    /// Queues `task` to run on the loop's thread in its next batch.
+    /// Queues `task` to run on the loop's thread in its next batch. After the end of `run` the task is
+    /// dropped.
     void post(std::function<void(time_point, outbox&)> task);
-    /// Runs `task` on the loop's thread and waits for its answer. Returns `outcome_unknown` with status 504
-    /// if there is none after 5 s.
+    /// Runs `task` on the loop's thread and waits for its answer. Returns `stopped` with status 503 if `run`
+    /// ends without running it, and `outcome_unknown` with status 504 if there is no answer after 5 s; the
+    /// task may run later then, so it must not refer to locals of the caller.
     admin_response call(std::function<admin_response(time_point, outbox&)> task);
     /// Handles events until `stop` is called.
     void run(const loop_handlers& handlers);
--- a/src/libperidotcleat/process/event_loop.cpp
+++ b/src/libperidotcleat/process/event_loop.cpp
@@ -49,8 +49,10 @@
     std::array<char, max_datagram + 1> buffer{};
     std::string bytes;
     std::atomic<bool> stopping{false};
-    // Guards `tasks` only; no other lock is taken while it is held.
+    // Guards `tasks` and `ended` only; no other lock is taken while it is held.
     std::mutex mutex;
+    // `run` has returned; no task runs any more.
+    bool ended = false;
     std::vector<std::function<void(time_point, outbox&)>> tasks;
 
     void wake()
@@ -198,6 +200,9 @@
 {
     {
         const std::scoped_lock lock(impl_->mutex);
+        if (impl_->ended) {
+            return;
+        }
         impl_->tasks.push_back(std::move(task));
     }
     impl_->wake();
@@ -209,14 +214,23 @@
         std::mutex mutex;
         std::condition_variable done;
         std::optional<admin_response> answer;
+
+        void set(admin_response a)
+        {
+            const std::scoped_lock lock(mutex);
+            if (!answer) {
+                answer = std::move(a);
+                done.notify_all();
+            }
+        }
     };
     auto shared = std::make_shared<shared_answer>();
-    post([shared, task = std::move(task)](time_point now, outbox& out) {
-        auto answer = task(now, out);
-        const std::scoped_lock lock(shared->mutex);
-        shared->answer = std::move(answer);
-        shared->done.notify_all();
-    });
+    // Answers when the loop drops the task without running it, because it has ended.
+    const auto on_drop = [](shared_answer* s) {
+        s->set(admin_error(503, {error_code::stopped, "the process is stopping"}));
+    };
+    post([shared, task = std::move(task), guard = std::shared_ptr<shared_answer>(shared.get(), on_drop)](
+             time_point now, outbox& out) { shared->set(task(now, out)); });
     std::unique_lock lock(shared->mutex);
     if (!shared->done.wait_for(lock, call_timeout, [&] { return shared->answer.has_value(); })) {
         return admin_error(504, {error_code::outcome_unknown, "the process did not answer within 5 s"});
@@ -262,6 +276,13 @@
         impl_->send_all(out);
         out.clear();
     }
+    {
+        const std::scoped_lock lock(impl_->mutex);
+        impl_->ended = true;
+        tasks.swap(impl_->tasks);
+    }
+    // Destroyed without the lock, because tasks may answer their callers when they are dropped.
+    tasks.clear();
 }
 
 wall_time wall_now()
