--- a/src/libperidotcleat/version/table_replace_test.cpp
+++ b/src/libperidotcleat/version/table_replace_test.cpp
@@ -2,6 +2,11 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <limits>
+#include <map>
+
+#include "peridotcleat/flow_routes.h"
 #include "peridotcleat/table_copy.h"
 #include "peridotcleat/table_state.h"
 
@@ -175,6 +180,63 @@
     EXPECT_TRUE(table.targets().empty());
 }
 
+// Guards against a search that omits a target which may hold flows of a route (rule FLOW), whatever the
+// descriptions of the last minute list: the model knows until when each service may hold flows of the route.
+RC_GTEST_PROP(table_replace, every_target_that_may_hold_flows_of_a_route_is_searched, ())
+{
+    const std::vector<std::string> names{"a", "b", "c", "d"};
+    const wire::endpoint address = route_to(80, 0).address;
+    table_state table;
+    std::map<std::string, std::int64_t> may_hold_until_ms;
+    std::int64_t now_ms = 1'000'000;
+    const auto rounds = *rc::gen::inRange<std::int64_t>(1, 30);
+    for (std::int64_t i = 1; i <= rounds; ++i) {
+        now_ms += *rc::gen::inRange<std::int64_t>(0, 40'000);
+        const auto used = *rc::gen::inRange<std::size_t>(0, names.size());
+        wire::replacement r;
+        r.version = i;
+        for (std::size_t n = 0; n < names.size(); ++n) {
+            if (n == used || *rc::gen::inRange(0, 2) == 0) {
+                r.services.push_back(names[n]);
+            }
+        }
+        const auto position = std::ranges::find(r.services, names[used]) - r.services.begin();
+        r.routes = {route_to(80, position)};
+        wire::change c;
+        c.time_ms = now_ms;
+        c.__set_replace(r);
+        RC_ASSERT(!table.apply(revision{2 * i}, c).refused);
+        for (const std::string& name : names) {
+            if (name == names[used] && table.targets_of(*table.find_service(name)).empty()) {
+                wire::change joined;
+                joined.time_ms = now_ms;
+                wire::target_join& join = joined.join_target;
+                joined.__isset.join_target = true;
+                join.value.service_id = table.find_service(name)->value;
+                join.value.agent = to_wire(endpoint{0x0a010000 + static_cast<std::uint32_t>(used), 7000});
+                join.value.slots = join.value.connections = 1;
+                join.value.nonce = i;
+                join.value.name = name;
+                RC_ASSERT(table.apply(revision{(2 * i) + 1}, joined).joined.has_value());
+            }
+        }
+        // New flows went to the service of the previous description until now, and live for a minute.
+        if (i > 1) {
+            const auto previous =
+                std::ranges::max_element(may_hold_until_ms, {}, [](const auto& item) { return item.second; });
+            previous->second = now_ms + 60'000;
+        }
+        may_hold_until_ms[names[used]] = std::numeric_limits<std::int64_t>::max();
+        const auto routes = flow_routes::build(table);
+        const auto searched = routes->find(from_wire(address))->services_with_flows();
+        for (const auto& [name, until_ms] : may_hold_until_ms) {
+            const auto found = std::ranges::find(searched, name, &flow_service::name);
+            RC_ASSERT(until_ms < now_ms || (found != searched.end() && !(*found)->targets.empty()));
+        }
+        RC_ASSERT(table.services().size() <= names.size());
+    }
+}
+
 // Guards against copies and snapshots that differ from the table after routes were added, removed and added
 // again.
 RC_GTEST_PROP(table_replace, copies_and_snapshots_equal_the_table, ())
