--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,15 +13,15 @@
 ZONES = ["recife-a", "fortaleza-b", "salvador-c"]
 MACHINES_LOST = 2
 CORE_MACHINES = 9
-ROUTES = {("198.18.0.1", 8080): "calendar-live"}
 SERVICES = ["calendar-live", "chart-render"]
 
 
 def case(record, trouble):
     d = platform2.Deployment(record, BOUNDS, MACHINES_LOST)
+    routes = {(f"{d.network}.9.1", 8080): SERVICES[0]}
 
     def body(version):
-        return platform2.manifest(version, ROUTES, SERVICES, timeout_ms=600 + version)
+        return platform2.manifest(version, routes, SERVICES, timeout_ms=600 + version)
 
     def replace(gone, new):
         """The machines `gone` are removed for good; `new`, as many, come 1 s later, empty, at other addresses."""
