--- a/review/platform2.py
+++ b/review/platform2.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -121,7 +122,6 @@
                   "Seeds": seeds, "Bootstrap": bootstrap, "ListenAddrs": listen, "Bounds": self.bounds,
                   "HeartbeatIntervalMs": self.heartbeat_ms, "FaultTolerance": {"Machines": self.machines_lost},
                   "Limits": {"LinkMbps": 1000.0}, **more}
-        # A role without an address for packets gets an empty value, as the page says.
         path = self.folder / f"{node}.settings"
         path.write_text(render(self.template, values))
         self.settings[node] = (role, path)
@@ -260,6 +260,8 @@
 def main(case, folder):
     """Runs `case(record, trouble)`, which returns true if the rule held. Returns the exit code."""
     record = Record(pathlib.Path(folder) / "record.txt")
+    # `Deployment.close` then ends the processes that were started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         held = case(record, trouble)
