--- a/review/platform2.py
+++ b/review/platform2.py
@@ -22,6 +22,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAMS = ROOT / "target" / "platform"
 TEMPLATE = ROOT / "deploy" / "settings.template"
+# A case that has no result by then could not run; a run may take 120 s.
+TIME_LIMIT_S = 115
 
 
 class Unavailable(Exception):
@@ -260,8 +262,15 @@
 def main(case, folder):
     """Runs `case(record, trouble)`, which returns true if the rule held. Returns the exit code."""
     record = Record(pathlib.Path(folder) / "record.txt")
-    # `Deployment.close` then ends the processes that were started.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+    def give_up(number, _):
+        # `Deployment.close` then ends the processes that were started.
+        record.line(f"could not run: {signal.Signals(number).name}")
+        sys.exit(2)
+
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGALRM, give_up)
+    signal.alarm(TIME_LIMIT_S)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         held = case(record, trouble)
