Replace a silent voter while other voters are silent too

Cause: the leader replaced a silent voter only if every other voter had answered within two heartbeats (`other_voters_respond`), and removed it only if every remaining voter confirmed the new list (`is_confirmed`). Two voters that are gone for good blocked each other, although standby members held the log. The group went on with three live voters of five; the next loss left no majority.

Change: a change of the voters needs a majority of the new list, and the member that gets a vote, to answer a round that starts after the decision. That is what keeps the new list able to elect: promoting a member that has answered and removing any voter from a list of even size both keep a majority of live voters.

--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -278,7 +278,6 @@
     [[nodiscard]] const wire::member* find_replaceable_voter(time_point now) const;
     [[nodiscard]] bool needs_another_voter(time_point now) const;
     [[nodiscard]] std::ptrdiff_t count_voters() const;
-    [[nodiscard]] bool other_voters_respond(time_point now, const wire::member& silent_voter) const;
     [[nodiscard]] const wire::member* find_ready_learner(time_point now) const;
     [[nodiscard]] const wire::member* find_silent_member(time_point now, bool voter,
                                                          std::chrono::milliseconds limit) const;
--- a/src/libperidotcleat/version/replica_members.cpp
+++ b/src/libperidotcleat/version/replica_members.cpp
@@ -223,7 +223,7 @@
     return change;
 }
 
-// A promotion needs the promoted member and a majority of the new list, a removal all voters that remain.
+// Returns true if a majority of the new list, and the promoted member if there is one, are alive.
 bool replica_core::is_confirmed(const member_change& change) const
 {
     std::size_t voters = 0;
@@ -237,15 +237,13 @@
         confirmed += m.voter && alive ? 1 : 0;
         required_folder_confirmed |= alive && m.folder_id == change.required_folder;
     }
-    return change.required_folder == 0 ? confirmed == voters
-                                       : required_folder_confirmed && confirmed * 2 > voters;
+    return required_folder_confirmed && confirmed * 2 > voters;
 }
 
 // Returns the first voter that is silent for so long that another member replaces it, or null.
 const wire::member* replica_core::find_replaceable_voter(time_point now) const
 {
-    const wire::member* silent_voter = find_silent_member(now, true, silence_before_voter_removal);
-    return silent_voter != nullptr && other_voters_respond(now, *silent_voter) ? silent_voter : nullptr;
+    return find_silent_member(now, true, silence_before_voter_removal);
 }
 
 // A silent voter is removed only after its replacement has its vote. With the opposite order, the list would
@@ -264,20 +262,6 @@
     return std::ranges::count_if(members(), [](const wire::member& m) { return m.voter; });
 }
 
-// Returns true if every voter except `silent_voter` has replied recently. The member list without it needs a
-// majority of the remaining voters: if two remain and one of them has just lost its disk, no leader can be
-// elected any more.
-bool replica_core::other_voters_respond(time_point now, const wire::member& silent_voter) const
-{
-    return std::ranges::all_of(members(), [&](const wire::member& m) {
-        if (!m.voter || m.folder_id == silent_voter.folder_id || m.folder_id == self()) {
-            return true;
-        }
-        const auto p = progress_.find(m.folder_id);
-        return p != progress_.end() && now - p->second.heard_at < 2 * settings_.timing.heartbeat_interval;
-    });
-}
-
 // A learner counts towards no majority, so its removal needs no confirmation.
 void replica_core::remove_silent_learner(time_point now)
 {
--- a/src/testing/replica_group.h
+++ b/src/testing/replica_group.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdlib>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +25,11 @@
         std::shared_ptr<fake_disk_content> disk;
         std::optional<replica<fake_disk>> process;
         std::uint64_t starts = 0;
+        // Control processes that the settings name; all initial members if empty.
+        std::vector<endpoint> seeds;
+        bool initial = true;
+        // True once the host is removed permanently.
+        bool removed = false;
         // State machine: index of the last applied entry and digest of all applied entries.
         std::int64_t applied = 0;
         std::uint64_t digest = 0;
@@ -31,14 +38,34 @@
         std::int64_t committed_at_read = 0;
     };
 
-    /// Creates and starts `size` replicas; `voter_count` and `timing` go into their settings.
-    replica_group(std::uint64_t seed, std::size_t size, std::size_t voter_count = 0,
-                  const replica_timing& timing = {})
-        : net(seed), voter_count_(voter_count), timing_(timing)
+    /// Number of replicas, and their settings.
+    struct composition {
+        std::size_t size = 3;
+        /// Replicas that form the group. The others join it and know the initial ones only.
+        std::size_t initial = 3;
+        std::size_t voter_count = 0;
+    };
+
+    /// Creates and starts a group of `size` replicas, all of which form it.
+    replica_group(std::uint64_t seed, std::size_t size, std::size_t voter_count = 0)
+        : replica_group(seed, composition{size, size, voter_count}, {})
+    {
+    }
+
+    /// Creates and starts a group; `timing` goes into the settings of its replicas.
+    replica_group(std::uint64_t seed, const composition& parts, const replica_timing& timing)
+        : net(seed), voter_count_(parts.voter_count), timing_(timing)
     {
         net.set_tick_period(std::chrono::milliseconds(50));
-        for (std::size_t i = 0; i < size; ++i) {
-            add_host(net.random()());
+        for (std::size_t i = 0; i < parts.size; ++i) {
+            host& h = add_host(net.random()());
+            h.initial = i < parts.initial;
+            if (h.initial) {
+                wire::member m;
+                m.name = h.name;
+                m.address = to_wire(h.address);
+                initial_members.push_back(m);
+            }
         }
         for (host& h : hosts) {
             start(h);
@@ -56,13 +83,26 @@
         h.name = name;
         h.address = address;
         h.disk = std::make_shared<fake_disk_content>(cluster_id{1}, name, seed);
-        wire::member m;
-        m.name = name;
-        m.address = to_wire(address);
-        initial_members.push_back(m);
         return h;
     }
 
+    /// Adds a host with an empty disk at a new address, which knows the control processes at `seeds`. It runs
+    /// once `start` is called.
+    host& add_successor(std::vector<endpoint> seeds)
+    {
+        host& h = add_host(net.random()());
+        h.initial = false;
+        h.seeds = std::move(seeds);
+        return h;
+    }
+
+    /// Stops the process of `h` for good. Its disk does not come back.
+    void remove_permanently(host& h)
+    {
+        kill(h, true);
+        h.removed = true;
+    }
+
     /// Starts the process of `h`. A corrupt disk is wiped first.
     void start(host& h)
     {
@@ -76,10 +116,13 @@
         replica_settings s;
         s.name = h.name;
         s.address = h.address;
-        for (const auto& m : initial_members) {
-            s.peers.push_back(from_wire(m.address));
+        s.peers = h.seeds;
+        if (h.seeds.empty()) {
+            for (const auto& m : initial_members) {
+                s.peers.push_back(from_wire(m.address));
+            }
         }
-        s.bootstrap = true;
+        s.bootstrap = h.initial;
         s.initial_members = initial_members;
         s.voter_count = voter_count_;
         s.timing = timing_;
@@ -91,22 +134,20 @@
         h.applied = h.checked_commit = 0;
         h.digest = 0;
         h.ticket.reset();
-        const auto index = static_cast<std::size_t>(&h - hosts.data());
         net.add(
             h.address,
-            [this, index](time_point now, const endpoint& from, const message& m, outbox& out) {
-                host& self = hosts[index];
+            [this, &h](time_point now, const endpoint& from, const message& m, outbox& out) {
                 if (const auto* vote = std::get_if<wire::vote_reply>(&m);
-                    vote != nullptr && vote->candidate == self.disk->folder()) {
+                    vote != nullptr && vote->candidate == h.disk->folder()) {
                     checker.on_vote(*vote);
                 }
-                self.process->on_message(now, from, m, out);
+                h.process->on_message(now, from, m, out);
                 // Half of the messages are not flushed at once, so that one flush covers several events.
-                after_event(self, now, out, (net.random()() & 1U) != 0);
+                after_event(h, now, out, (net.random()() & 1U) != 0);
             },
-            [this, index](time_point now, outbox& out) {
-                hosts[index].process->on_tick(now, out);
-                after_event(hosts[index], now, out, true);
+            [this, &h](time_point now, outbox& out) {
+                h.process->on_tick(now, out);
+                after_event(h, now, out, true);
             });
     }
 
@@ -187,18 +228,22 @@
                                    [&](const wire::member& m) { return find_disk(m.folder_id) != nullptr; });
     }
 
+    /// Returns the host whose disk is the folder `folder`, or null.
+    [[nodiscard]] const host* find_host(std::int64_t folder) const
+    {
+        const auto it =
+            std::ranges::find_if(hosts, [&](const host& h) { return h.disk->folder() == folder; });
+        return it == hosts.end() ? nullptr : &*it;
+    }
+
     [[nodiscard]] const fake_disk_content* find_disk(std::int64_t folder) const
     {
-        for (const host& h : hosts) {
-            if (h.disk->folder() == folder) {
-                return h.disk.get();
-            }
-        }
-        return nullptr;
+        const host* h = find_host(folder);
+        return h == nullptr ? nullptr : h->disk.get();
     }
 
     /// Describes the log, term and member list of each replica, for the report of a failure. In a member
-    /// list, `v` marks voters, `s` standby members and `!` folders that are lost.
+    /// list, `v` marks voters, `s` standby members and `!` folders that are lost or removed.
     [[nodiscard]] std::string describe() const
     {
         std::string text;
@@ -216,7 +261,9 @@
                                                          : (disk.snapshot ? disk.snapshot->index : 0)) +
                     " members=";
             for (const wire::member& m : h.process->members()) {
-                text += m.name + (m.voter ? ":v" : ":s") + (find_disk(m.folder_id) == nullptr ? "! " : " ");
+                const host* member = find_host(m.folder_id);
+                text +=
+                    m.name + (m.voter ? ":v" : ":s") + (member == nullptr || member->removed ? "! " : " ");
             }
         }
         return text;
@@ -224,7 +271,8 @@
 
     fake_network net;
     replica_checker checker;
-    std::vector<host> hosts;
+    // A deque, because references to hosts stay valid when one is added.
+    std::deque<host> hosts;
     std::vector<wire::member> initial_members;
     std::size_t snapshot_every = 40;
     std::size_t snapshot_padding = 3000;
