Let a member with an empty disk join by way of the leader it hears from

A control machine that lost its disk never became a member again if all machines that its settings name had been replaced. Its former folder kept its vote, so the group had one loss less to spare for good.

Cause: a process that is no member sends its join requests to the peers of its settings and of its log, and both were gone. The leader kept sending heartbeats for the former folder to the same address, so the process knew the leader, but did not ask it.

Change: the leader that a process hears from is one of the peers that it asks.

--- a/src/libperidotcleat/version/replica_members.cpp
+++ b/src/libperidotcleat/version/replica_members.cpp
@@ -72,6 +72,11 @@
     for (const wire::member& m : members()) {
         peers.insert(from_wire(m.address));
     }
+    if (leader_address_) {
+        // The heartbeats for the former folder at this address name the leader, although the peers in the
+        // settings may all be gone.
+        peers.insert(*leader_address_);
+    }
     peers.erase(settings_.address);
     for (const endpoint& peer : peers) {
         send(peer, r, out);
--- a/src/testing/replica_group.h
+++ b/src/testing/replica_group.h
@@ -236,6 +236,13 @@
         return it == hosts.end() ? nullptr : &*it;
     }
 
+    /// Returns a host whose process runs, or null.
+    [[nodiscard]] const host* find_running() const
+    {
+        const auto it = std::ranges::find_if(hosts, [](const host& h) { return h.process.has_value(); });
+        return it == hosts.end() ? nullptr : &*it;
+    }
+
     [[nodiscard]] const fake_disk_content* find_disk(std::int64_t folder) const
     {
         const host* h = find_host(folder);
