--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -217,7 +217,7 @@
     void write_hard_state();
     bool append_entry(std::int8_t kind, std::string data);
     void become_follower(std::int64_t term, time_point now);
-    void adopt_leader(std::int64_t term, const endpoint& from, time_point now);
+    void adopt_leader(std::int64_t term, std::int64_t folder, const endpoint& from, time_point now);
     void restart_election_timer(time_point now);
     // Returns a random duration of at least 0 and less than `limit`.
     [[nodiscard]] std::chrono::microseconds random_duration(std::chrono::microseconds limit);
@@ -248,6 +248,7 @@
     void replicate(time_point now, const wire::member& to, progress& p, outbox& out);
     void send_append(time_point now, const wire::member& to, progress& p, outbox& out);
     [[nodiscard]] static bool window_open(const progress& p);
+    [[nodiscard]] static std::int32_t to_wire_ms(std::chrono::microseconds duration);
     static void clear_in_flight(progress& p);
     void rewind(time_point now, progress& p, std::int64_t next);
     void record_reply(time_point now, progress& p, std::int64_t round);
@@ -291,6 +292,10 @@
     [[nodiscard]] std::vector<const wire::member*> find_ready_learners(time_point now) const;
     [[nodiscard]] std::vector<const wire::member*> find_silent_members(time_point now, bool voters,
                                                                        std::chrono::milliseconds limit) const;
+    [[nodiscard]] std::chrono::milliseconds voter_silence_limit() const;
+    [[nodiscard]] std::chrono::milliseconds reported_silence() const;
+    [[nodiscard]] std::vector<wire::silent_member> report_silent_members(time_point now) const;
+    void adopt_known_silence(time_point now);
 
     replica_settings settings_;
     folder_identity identity_;
@@ -313,8 +318,12 @@
 
     role role_ = role::follower;
     std::optional<endpoint> leader_address_;
+    // Folder of the last leader that this process has heard from, 0 if there was none.
+    std::int64_t leader_folder_ = 0;
     // Time of the last message from a leader, by the clock of this process.
     std::optional<time_point> leader_heard_at_;
+    // By folder: the time since when a member is silent, according to the last message from a leader.
+    std::map<std::int64_t, time_point> silent_since_;
     // Latest time at which a leader had a quorum, according to the messages of leaders.
     time_point leader_quorum_at_;
     time_point election_due_;
--- a/src/libperidotcleat/version/replica_append.cpp
+++ b/src/libperidotcleat/version/replica_append.cpp
@@ -23,6 +23,7 @@
 // the entry's data.
 constexpr std::size_t append_overhead = 80;
 constexpr std::size_t entry_overhead = 32;
+constexpr std::size_t silent_member_size = 20;
 // Covers several lease durations at one round per heartbeat interval plus many rounds for reads.
 constexpr std::size_t max_round_starts = 4096;
 
@@ -43,6 +44,12 @@
     });
 }
 
+std::int32_t replica_core::to_wire_ms(std::chrono::microseconds duration)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return static_cast<std::int32_t>(std::min<std::int64_t>(ms, 1 << 30));
+}
+
 time_point replica_core::round_start_time(std::int64_t round) const
 {
     const std::int64_t rounds_ago = round_ - round;
@@ -75,7 +82,11 @@
         send(from, reply, out);
         return;
     }
-    adopt_leader(m.term, from, now);
+    adopt_leader(m.term, m.leader, from, now);
+    silent_since_.clear();
+    for (const wire::silent_member& silent : m.silent_members) {
+        silent_since_[silent.folder_id] = now - std::chrono::milliseconds(std::max(0, silent.silent_ms));
+    }
     reply.term = hard_state_.term;
     const std::int64_t previous_index = m.previous_index;
     if (previous_index > log_.last_index()) {
@@ -248,8 +259,7 @@
         probe.term = hard_state_.term;
         probe.leader = self();
         probe.round = round_;
-        probe.quorum_age_ms =
-            static_cast<std::int32_t>(std::min<std::int64_t>(quorum_age(now).count(), 1 << 30));
+        probe.quorum_age_ms = to_wire_ms(quorum_age(now));
         if (j.probe_round == 0) {
             j.probe_round = round_;
         }
@@ -299,8 +309,11 @@
     r.previous_term = log_.term_at(r.previous_index).value_or(0);
     r.commit = commit_index_;
     r.round = round_;
-    r.quorum_age_ms = static_cast<std::int32_t>(std::min<std::int64_t>(quorum_age(now).count(), 1 << 30));
-    std::size_t size = append_overhead;
+    r.quorum_age_ms = to_wire_ms(quorum_age(now));
+    if (auto silent = report_silent_members(now); !silent.empty()) {
+        r.__set_silent_members(std::move(silent));
+    }
+    std::size_t size = append_overhead + silent_member_size * r.silent_members.size();
     while (p.next_index <= log_.last_index() && window_open(p)) {
         const wire::log_entry& e = log_.at(p.next_index);
         const std::size_t added = entry_overhead + e.data.size();
--- a/src/libperidotcleat/version/replica_core.cpp
+++ b/src/libperidotcleat/version/replica_core.cpp
@@ -285,12 +285,13 @@
     pending_change_.reset();
 }
 
-void replica_core::adopt_leader(std::int64_t term, const endpoint& from, time_point now)
+void replica_core::adopt_leader(std::int64_t term, std::int64_t folder, const endpoint& from, time_point now)
 {
     if (term > hard_state_.term || role_ != role::follower) {
         become_follower(term, now);
     }
     leader_address_ = from;
+    leader_folder_ = folder;
     leader_heard_at_ = now;
     restart_election_timer(now);
 }
--- a/src/libperidotcleat/version/replica_election.cpp
+++ b/src/libperidotcleat/version/replica_election.cpp
@@ -209,6 +209,7 @@
         append_entry(kind_no_op, {});
     }
     update_progress_map(now);
+    adopt_known_silence(now);
     round_requested_ = true;
 }
 
--- a/src/libperidotcleat/version/replica_loss_test.cpp
+++ b/src/libperidotcleat/version/replica_loss_test.cpp
@@ -93,6 +93,10 @@
 // votes, after losses of all kinds.
 TEST(replica_loss, a_group_accepts_changes_after_losses_of_all_kinds) { run_seeds(all_kinds); }
 
+// Guards against members that are replaced one after the other faster than the leaders take their votes, and
+// against the loss of a member that has just taken the vote of another one.
+TEST(replica_loss, a_group_accepts_changes_after_members_were_replaced) { run_seeds({loss::replacement}); }
+
 class permanent_loss : public ::testing::Test {
 protected:
     explicit permanent_loss(const replica_group::composition& parts = {9, 3, 5})
@@ -182,8 +186,7 @@
 // then had two lost voters of four.
 TEST_F(permanent_loss_of_three, a_member_that_has_just_got_a_vote_may_be_lost)
 {
-    // Longer than a step, so that the list with the successor is not committed yet when the successor is
-    // lost.
+    // Longer than a step, so that the list with the successor is not committed yet when the successor is lost.
     group_.net.set_default_quality({20ms, 0ms, 0, 0});
     replace(follower());
     auto& successor = group_.hosts.back();
@@ -196,5 +199,16 @@
     expect_votes_of_running_members_only();
 }
 
+// Guards against a new leader that waits for the whole limit again before it takes the votes of members that
+// were silent already. Four seconds are the time after which further members may be lost.
+TEST_F(permanent_loss, a_new_leader_knows_which_voters_are_silent)
+{
+    replace(follower());
+    group_.net.run_for(1s);
+    replace(*leader());
+    group_.net.run_for(3s);
+    expect_votes_of_running_members_only();
+}
+
 }  // namespace
 }  // namespace peridotcleat
--- a/src/libperidotcleat/version/replica_snapshot.cpp
+++ b/src/libperidotcleat/version/replica_snapshot.cpp
@@ -75,7 +75,7 @@
         send(from, reply, out);
         return;
     }
-    adopt_leader(m.term, from, now);
+    adopt_leader(m.term, m.leader, from, now);
     reply.term = hard_state_.term;
     if (m.last_index <= commit_index_) {
         reply.next_offset = m.total;
--- a/src/libperidotcleat/version/replica_voters.cpp
+++ b/src/libperidotcleat/version/replica_voters.cpp
@@ -9,9 +9,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds learner_max_silence{1000};
-// A voter that is silent for this long, the duration of a restart, is replaced.
-constexpr std::chrono::milliseconds silence_before_voter_replacement{3000};
+// A member that has not acknowledged a heartbeat for this many intervals counts as silent.
+constexpr int max_unanswered_heartbeats = 3;
 // Number of entries by which a learner may lag when it is promoted to voter.
 constexpr std::int64_t max_learner_lag = 64;
 // Several round trips between zones and a slow sync. Confirmations that are older no longer count.
@@ -74,7 +73,7 @@
     member_change change;
     change.list = log_.members();
     if (required != 0) {
-        const auto silent = find_silent_members(now, true, silence_before_voter_replacement);
+        const auto silent = find_silent_members(now, true, voter_silence_limit());
         if (voters > required && !silent.empty()) {
             member_of(change.list, *silent.front()).voter = false;
             change.reason = "silent";
@@ -155,7 +154,7 @@
         const auto p = progress_.find(m.folder_id);
         if (!m.voter && holds_committed_entries(m) &&
             p->second.match_index + max_learner_lag >= log_.last_index() &&
-            now - p->second.heard_at < learner_max_silence) {
+            now - p->second.heard_at < reported_silence()) {
             ready.push_back(&m);
         }
     }
@@ -168,6 +167,10 @@
                                                                    std::chrono::milliseconds limit) const
 {
     std::vector<const wire::member*> silent;
+    if (now - leader_since_ < reported_silence()) {
+        // The members have not had the time to answer the new leader.
+        return silent;
+    }
     for (const wire::member& m : members()) {
         const auto p = progress_.find(m.folder_id);
         if (m.voter == voters && p != progress_.end() && now - p->second.heard_at >= limit) {
@@ -179,4 +182,50 @@
     return silent;
 }
 
+// A leader that is paused for longer than the limit hears from nobody either, but is no longer the leader
+// when it resumes.
+std::chrono::milliseconds replica_core::voter_silence_limit() const
+{
+    return settings_.timing.max_election_timeout;
+}
+
+std::chrono::milliseconds replica_core::reported_silence() const
+{
+    return max_unanswered_heartbeats * settings_.timing.heartbeat_interval;
+}
+
+std::vector<wire::silent_member> replica_core::report_silent_members(time_point now) const
+{
+    std::vector<wire::silent_member> reported;
+    for (const auto& [folder, p] : progress_) {
+        if (now - p.heard_at >= reported_silence()) {
+            wire::silent_member m;
+            m.folder_id = folder;
+            m.silent_ms = to_wire_ms(now - p.heard_at);
+            reported.push_back(m);
+        }
+    }
+    return reported;
+}
+
+// A new leader knows since when members are silent from its predecessor, and since when the predecessor is
+// from its last message. If it counted anew, each loss of a leader would delay the replacement of all members
+// that were lost before.
+void replica_core::adopt_known_silence(time_point now)
+{
+    for (const auto& [folder, heard_at] : silent_since_) {
+        if (const auto p = progress_.find(folder); p != progress_.end()) {
+            p->second.heard_at = std::min(now, heard_at);
+        }
+    }
+    if (const auto p = progress_.find(leader_folder_); p != progress_.end() && leader_heard_at_) {
+        p->second.heard_at = *leader_heard_at_;
+    }
+    for (const std::int64_t voter : votes_) {
+        if (const auto p = progress_.find(voter); p != progress_.end()) {
+            p->second.heard_at = now;
+        }
+    }
+}
+
 }  // namespace peridotcleat::pvt
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -3365,6 +3365,57 @@
 }
 
 
+silent_member::~silent_member() noexcept {
+}
+
+
+void silent_member::__set_folder_id(const int64_t val) {
+  this->folder_id = val;
+}
+
+void silent_member::__set_silent_ms(const int32_t val) {
+  this->silent_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const silent_member& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(silent_member &a, silent_member &b) {
+  using ::std::swap;
+  swap(a.folder_id, b.folder_id);
+  swap(a.silent_ms, b.silent_ms);
+}
+
+silent_member::silent_member(const silent_member& other280) noexcept {
+  folder_id = other280.folder_id;
+  silent_ms = other280.silent_ms;
+}
+silent_member::silent_member(silent_member&& other281) noexcept {
+  folder_id = other281.folder_id;
+  silent_ms = other281.silent_ms;
+}
+silent_member& silent_member::operator=(const silent_member& other282) noexcept {
+  folder_id = other282.folder_id;
+  silent_ms = other282.silent_ms;
+  return *this;
+}
+silent_member& silent_member::operator=(silent_member&& other283) noexcept {
+  folder_id = other283.folder_id;
+  silent_ms = other283.silent_ms;
+  return *this;
+}
+void silent_member::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "silent_member(";
+  out << "folder_id=" << to_string(folder_id);
+  out << ", " << "silent_ms=" << to_string(silent_ms);
+  out << ")";
+}
+
+
 append_request::~append_request() noexcept {
 }
 
@@ -3400,6 +3451,11 @@
 void append_request::__set_quorum_age_ms(const int32_t val) {
   this->quorum_age_ms = val;
 }
+
+void append_request::__set_silent_members(const std::vector<silent_member> & val) {
+  this->silent_members = val;
+__isset.silent_members = true;
+}
 std::ostream& operator<<(std::ostream& out, const append_request& obj)
 {
   obj.printTo(out);
@@ -3417,48 +3473,58 @@
   swap(a.round, b.round);
   swap(a.entries, b.entries);
   swap(a.quorum_age_ms, b.quorum_age_ms);
+  swap(a.silent_members, b.silent_members);
+  swap(a.__isset, b.__isset);
 }
 
-append_request::append_request(const append_request& other286) {
-  term = other286.term;
-  leader = other286.leader;
-  previous_index = other286.previous_index;
-  previous_term = other286.previous_term;
-  commit = other286.commit;
-  round = other286.round;
-  entries = other286.entries;
-  quorum_age_ms = other286.quorum_age_ms;
-}
-append_request::append_request(append_request&& other287) noexcept {
-  term = other287.term;
-  leader = other287.leader;
-  previous_index = other287.previous_index;
-  previous_term = other287.previous_term;
-  commit = other287.commit;
-  round = other287.round;
-  entries = std::move(other287.entries);
-  quorum_age_ms = other287.quorum_age_ms;
-}
-append_request& append_request::operator=(const append_request& other288) {
-  term = other288.term;
-  leader = other288.leader;
-  previous_index = other288.previous_index;
-  previous_term = other288.previous_term;
-  commit = other288.commit;
-  round = other288.round;
-  entries = other288.entries;
-  quorum_age_ms = other288.quorum_age_ms;
-  return *this;
-}
-append_request& append_request::operator=(append_request&& other289) noexcept {
-  term = other289.term;
-  leader = other289.leader;
-  previous_index = other289.previous_index;
-  previous_term = other289.previous_term;
-  commit = other289.commit;
-  round = other289.round;
-  entries = std::move(other289.entries);
-  quorum_age_ms = other289.quorum_age_ms;
+append_request::append_request(const append_request& other296) {
+  term = other296.term;
+  leader = other296.leader;
+  previous_index = other296.previous_index;
+  previous_term = other296.previous_term;
+  commit = other296.commit;
+  round = other296.round;
+  entries = other296.entries;
+  quorum_age_ms = other296.quorum_age_ms;
+  silent_members = other296.silent_members;
+  __isset = other296.__isset;
+}
+append_request::append_request(append_request&& other297) noexcept {
+  term = other297.term;
+  leader = other297.leader;
+  previous_index = other297.previous_index;
+  previous_term = other297.previous_term;
+  commit = other297.commit;
+  round = other297.round;
+  entries = std::move(other297.entries);
+  quorum_age_ms = other297.quorum_age_ms;
+  silent_members = std::move(other297.silent_members);
+  __isset = other297.__isset;
+}
+append_request& append_request::operator=(const append_request& other298) {
+  term = other298.term;
+  leader = other298.leader;
+  previous_index = other298.previous_index;
+  previous_term = other298.previous_term;
+  commit = other298.commit;
+  round = other298.round;
+  entries = other298.entries;
+  quorum_age_ms = other298.quorum_age_ms;
+  silent_members = other298.silent_members;
+  __isset = other298.__isset;
+  return *this;
+}
+append_request& append_request::operator=(append_request&& other299) noexcept {
+  term = other299.term;
+  leader = other299.leader;
+  previous_index = other299.previous_index;
+  previous_term = other299.previous_term;
+  commit = other299.commit;
+  round = other299.round;
+  entries = std::move(other299.entries);
+  quorum_age_ms = other299.quorum_age_ms;
+  silent_members = std::move(other299.silent_members);
+  __isset = other299.__isset;
   return *this;
 }
 void append_request::printTo(std::ostream& out) const {
@@ -3472,6 +3538,7 @@
   out << ", " << "round=" << to_string(round);
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "quorum_age_ms=" << to_string(quorum_age_ms);
+  out << ", " << "silent_members="; (__isset.silent_members ? (out << to_string(silent_members)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3515,34 +3582,34 @@
   swap(a.round, b.round);
 }
 
-append_reply::append_reply(const append_reply& other290) noexcept {
-  term = other290.term;
-  follower = other290.follower;
-  success = other290.success;
-  match = other290.match;
-  round = other290.round;
+append_reply::append_reply(const append_reply& other300) noexcept {
+  term = other300.term;
+  follower = other300.follower;
+  success = other300.success;
+  match = other300.match;
+  round = other300.round;
 }
-append_reply::append_reply(append_reply&& other291) noexcept {
-  term = other291.term;
-  follower = other291.follower;
-  success = other291.success;
-  match = other291.match;
-  round = other291.round;
+append_reply::append_reply(append_reply&& other301) noexcept {
+  term = other301.term;
+  follower = other301.follower;
+  success = other301.success;
+  match = other301.match;
+  round = other301.round;
 }
-append_reply& append_reply::operator=(const append_reply& other292) noexcept {
-  term = other292.term;
-  follower = other292.follower;
-  success = other292.success;
-  match = other292.match;
-  round = other292.round;
+append_reply& append_reply::operator=(const append_reply& other302) noexcept {
+  term = other302.term;
+  follower = other302.follower;
+  success = other302.success;
+  match = other302.match;
+  round = other302.round;
   return *this;
 }
-append_reply& append_reply::operator=(append_reply&& other293) noexcept {
-  term = other293.term;
-  follower = other293.follower;
-  success = other293.success;
-  match = other293.match;
-  round = other293.round;
+append_reply& append_reply::operator=(append_reply&& other303) noexcept {
+  term = other303.term;
+  follower = other303.follower;
+  success = other303.success;
+  match = other303.match;
+  round = other303.round;
   return *this;
 }
 void append_reply::printTo(std::ostream& out) const {
@@ -3616,50 +3683,50 @@
   swap(a.members, b.members);
 }
 
-snapshot_chunk::snapshot_chunk(const snapshot_chunk& other294) {
-  term = other294.term;
-  leader = other294.leader;
-  last_index = other294.last_index;
-  last_term = other294.last_term;
-  offset = other294.offset;
-  total = other294.total;
-  data = other294.data;
-  round = other294.round;
-  members = other294.members;
-}
-snapshot_chunk::snapshot_chunk(snapshot_chunk&& other295) noexcept {
-  term = other295.term;
-  leader = other295.leader;
-  last_index = other295.last_index;
-  last_term = other295.last_term;
-  offset = other295.offset;
-  total = other295.total;
-  data = std::move(other295.data);
-  round = other295.round;
-  members = std::move(other295.members);
-}
-snapshot_chunk& snapshot_chunk::operator=(const snapshot_chunk& other296) {
-  term = other296.term;
-  leader = other296.leader;
-  last_index = other296.last_index;
-  last_term = other296.last_term;
-  offset = other296.offset;
-  total = other296.total;
-  data = other296.data;
-  round = other296.round;
-  members = other296.members;
-  return *this;
-}
-snapshot_chunk& snapshot_chunk::operator=(snapshot_chunk&& other297) noexcept {
-  term = other297.term;
-  leader = other297.leader;
-  last_index = other297.last_index;
-  last_term = other297.last_term;
-  offset = other297.offset;
-  total = other297.total;
-  data = std::move(other297.data);
-  round = other297.round;
-  members = std::move(other297.members);
+snapshot_chunk::snapshot_chunk(const snapshot_chunk& other304) {
+  term = other304.term;
+  leader = other304.leader;
+  last_index = other304.last_index;
+  last_term = other304.last_term;
+  offset = other304.offset;
+  total = other304.total;
+  data = other304.data;
+  round = other304.round;
+  members = other304.members;
+}
+snapshot_chunk::snapshot_chunk(snapshot_chunk&& other305) noexcept {
+  term = other305.term;
+  leader = other305.leader;
+  last_index = other305.last_index;
+  last_term = other305.last_term;
+  offset = other305.offset;
+  total = other305.total;
+  data = std::move(other305.data);
+  round = other305.round;
+  members = std::move(other305.members);
+}
+snapshot_chunk& snapshot_chunk::operator=(const snapshot_chunk& other306) {
+  term = other306.term;
+  leader = other306.leader;
+  last_index = other306.last_index;
+  last_term = other306.last_term;
+  offset = other306.offset;
+  total = other306.total;
+  data = other306.data;
+  round = other306.round;
+  members = other306.members;
+  return *this;
+}
+snapshot_chunk& snapshot_chunk::operator=(snapshot_chunk&& other307) noexcept {
+  term = other307.term;
+  leader = other307.leader;
+  last_index = other307.last_index;
+  last_term = other307.last_term;
+  offset = other307.offset;
+  total = other307.total;
+  data = std::move(other307.data);
+  round = other307.round;
+  members = std::move(other307.members);
   return *this;
 }
 void snapshot_chunk::printTo(std::ostream& out) const {
@@ -3717,34 +3784,34 @@
   swap(a.round, b.round);
 }
 
-snapshot_reply::snapshot_reply(const snapshot_reply& other298) noexcept {
-  term = other298.term;
-  follower = other298.follower;
-  last_index = other298.last_index;
-  next_offset = other298.next_offset;
-  round = other298.round;
+snapshot_reply::snapshot_reply(const snapshot_reply& other308) noexcept {
+  term = other308.term;
+  follower = other308.follower;
+  last_index = other308.last_index;
+  next_offset = other308.next_offset;
+  round = other308.round;
 }
-snapshot_reply::snapshot_reply(snapshot_reply&& other299) noexcept {
-  term = other299.term;
-  follower = other299.follower;
-  last_index = other299.last_index;
-  next_offset = other299.next_offset;
-  round = other299.round;
+snapshot_reply::snapshot_reply(snapshot_reply&& other309) noexcept {
+  term = other309.term;
+  follower = other309.follower;
+  last_index = other309.last_index;
+  next_offset = other309.next_offset;
+  round = other309.round;
 }
-snapshot_reply& snapshot_reply::operator=(const snapshot_reply& other300) noexcept {
-  term = other300.term;
-  follower = other300.follower;
-  last_index = other300.last_index;
-  next_offset = other300.next_offset;
-  round = other300.round;
+snapshot_reply& snapshot_reply::operator=(const snapshot_reply& other310) noexcept {
+  term = other310.term;
+  follower = other310.follower;
+  last_index = other310.last_index;
+  next_offset = other310.next_offset;
+  round = other310.round;
   return *this;
 }
-snapshot_reply& snapshot_reply::operator=(snapshot_reply&& other301) noexcept {
-  term = other301.term;
-  follower = other301.follower;
-  last_index = other301.last_index;
-  next_offset = other301.next_offset;
-  round = other301.round;
+snapshot_reply& snapshot_reply::operator=(snapshot_reply&& other311) noexcept {
+  term = other311.term;
+  follower = other311.follower;
+  last_index = other311.last_index;
+  next_offset = other311.next_offset;
+  round = other311.round;
   return *this;
 }
 void snapshot_reply::printTo(std::ostream& out) const {
@@ -3783,22 +3850,22 @@
   swap(a.replaces, b.replaces);
 }
 
-join_request::join_request(const join_request& other302) {
-  candidate = other302.candidate;
-  replaces = other302.replaces;
+join_request::join_request(const join_request& other312) {
+  candidate = other312.candidate;
+  replaces = other312.replaces;
 }
-join_request::join_request(join_request&& other303) noexcept {
-  candidate = std::move(other303.candidate);
-  replaces = other303.replaces;
+join_request::join_request(join_request&& other313) noexcept {
+  candidate = std::move(other313.candidate);
+  replaces = other313.replaces;
 }
-join_request& join_request::operator=(const join_request& other304) {
-  candidate = other304.candidate;
-  replaces = other304.replaces;
+join_request& join_request::operator=(const join_request& other314) {
+  candidate = other314.candidate;
+  replaces = other314.replaces;
   return *this;
 }
-join_request& join_request::operator=(join_request&& other305) noexcept {
-  candidate = std::move(other305.candidate);
-  replaces = other305.replaces;
+join_request& join_request::operator=(join_request&& other315) noexcept {
+  candidate = std::move(other315.candidate);
+  replaces = other315.replaces;
   return *this;
 }
 void join_request::printTo(std::ostream& out) const {
@@ -3839,26 +3906,26 @@
   swap(a.id, b.id);
 }
 
-cursor::cursor(const cursor& other306) noexcept {
-  revision = other306.revision;
-  kind = other306.kind;
-  id = other306.id;
+cursor::cursor(const cursor& other316) noexcept {
+  revision = other316.revision;
+  kind = other316.kind;
+  id = other316.id;
 }
-cursor::cursor(cursor&& other307) noexcept {
-  revision = other307.revision;
-  kind = other307.kind;
-  id = other307.id;
+cursor::cursor(cursor&& other317) noexcept {
+  revision = other317.revision;
+  kind = other317.kind;
+  id = other317.id;
 }
-cursor& cursor::operator=(const cursor& other308) noexcept {
-  revision = other308.revision;
-  kind = other308.kind;
-  id = other308.id;
+cursor& cursor::operator=(const cursor& other318) noexcept {
+  revision = other318.revision;
+  kind = other318.kind;
+  id = other318.id;
   return *this;
 }
-cursor& cursor::operator=(cursor&& other309) noexcept {
-  revision = other309.revision;
-  kind = other309.kind;
-  id = other309.id;
+cursor& cursor::operator=(cursor&& other319) noexcept {
+  revision = other319.revision;
+  kind = other319.kind;
+  id = other319.id;
   return *this;
 }
 void cursor::printTo(std::ostream& out) const {
@@ -3928,50 +3995,50 @@
   swap(a.__isset, b.__isset);
 }
 
-pull_request::pull_request(const pull_request& other310) noexcept {
-  node = other310.node;
-  nonce = other310.nonce;
-  revision = other310.revision;
-  position = other310.position;
-  full = other310.full;
-  digest = other310.digest;
-  parents = other310.parents;
-  confirm = other310.confirm;
-  __isset = other310.__isset;
-}
-pull_request::pull_request(pull_request&& other311) noexcept {
-  node = other311.node;
-  nonce = other311.nonce;
-  revision = other311.revision;
-  position = std::move(other311.position);
-  full = other311.full;
-  digest = other311.digest;
-  parents = other311.parents;
-  confirm = other311.confirm;
-  __isset = other311.__isset;
-}
-pull_request& pull_request::operator=(const pull_request& other312) noexcept {
-  node = other312.node;
-  nonce = other312.nonce;
-  revision = other312.revision;
-  position = other312.position;
-  full = other312.full;
-  digest = other312.digest;
-  parents = other312.parents;
-  confirm = other312.confirm;
-  __isset = other312.__isset;
-  return *this;
-}
-pull_request& pull_request::operator=(pull_request&& other313) noexcept {
-  node = other313.node;
-  nonce = other313.nonce;
-  revision = other313.revision;
-  position = std::move(other313.position);
-  full = other313.full;
-  digest = other313.digest;
-  parents = other313.parents;
-  confirm = other313.confirm;
-  __isset = other313.__isset;
+pull_request::pull_request(const pull_request& other320) noexcept {
+  node = other320.node;
+  nonce = other320.nonce;
+  revision = other320.revision;
+  position = other320.position;
+  full = other320.full;
+  digest = other320.digest;
+  parents = other320.parents;
+  confirm = other320.confirm;
+  __isset = other320.__isset;
+}
+pull_request::pull_request(pull_request&& other321) noexcept {
+  node = other321.node;
+  nonce = other321.nonce;
+  revision = other321.revision;
+  position = std::move(other321.position);
+  full = other321.full;
+  digest = other321.digest;
+  parents = other321.parents;
+  confirm = other321.confirm;
+  __isset = other321.__isset;
+}
+pull_request& pull_request::operator=(const pull_request& other322) noexcept {
+  node = other322.node;
+  nonce = other322.nonce;
+  revision = other322.revision;
+  position = other322.position;
+  full = other322.full;
+  digest = other322.digest;
+  parents = other322.parents;
+  confirm = other322.confirm;
+  __isset = other322.__isset;
+  return *this;
+}
+pull_request& pull_request::operator=(pull_request&& other323) noexcept {
+  node = other323.node;
+  nonce = other323.nonce;
+  revision = other323.revision;
+  position = std::move(other323.position);
+  full = other323.full;
+  digest = other323.digest;
+  parents = other323.parents;
+  confirm = other323.confirm;
+  __isset = other323.__isset;
   return *this;
 }
 void pull_request::printTo(std::ostream& out) const {
@@ -4071,70 +4138,70 @@
   swap(a.__isset, b.__isset);
 }
 
-table_page::table_page(const table_page& other344) {
-  revision = other344.revision;
-  config_version = other344.config_version;
-  full = other344.full;
-  start = other344.start;
-  position = other344.position;
-  complete = other344.complete;
-  digest = other344.digest;
-  services = other344.services;
-  targets = other344.targets;
-  nodes = other344.nodes;
-  tombstones = other344.tombstones;
-  routes = other344.routes;
-  document_version = other344.document_version;
-  __isset = other344.__isset;
-}
-table_page::table_page(table_page&& other345) noexcept {
-  revision = other345.revision;
-  config_version = other345.config_version;
-  full = other345.full;
-  start = std::move(other345.start);
-  position = std::move(other345.position);
-  complete = other345.complete;
-  digest = other345.digest;
-  services = std::move(other345.services);
-  targets = std::move(other345.targets);
-  nodes = std::move(other345.nodes);
-  tombstones = std::move(other345.tombstones);
-  routes = std::move(other345.routes);
-  document_version = other345.document_version;
-  __isset = other345.__isset;
-}
-table_page& table_page::operator=(const table_page& other346) {
-  revision = other346.revision;
-  config_version = other346.config_version;
-  full = other346.full;
-  start = other346.start;
-  position = other346.position;
-  complete = other346.complete;
-  digest = other346.digest;
-  services = other346.services;
-  targets = other346.targets;
-  nodes = other346.nodes;
-  tombstones = other346.tombstones;
-  routes = other346.routes;
-  document_version = other346.document_version;
-  __isset = other346.__isset;
-  return *this;
-}
-table_page& table_page::operator=(table_page&& other347) noexcept {
-  revision = other347.revision;
-  config_version = other347.config_version;
-  full = other347.full;
-  start = std::move(other347.start);
-  position = std::move(other347.position);
-  complete = other347.complete;
-  digest = other347.digest;
-  services = std::move(other347.services);
-  targets = std::move(other347.targets);
-  nodes = std::move(other347.nodes);
-  tombstones = std::move(other347.tombstones);
-  routes = std::move(other347.routes);
-  document_version = other347.document_version;
-  __isset = other347.__isset;
+table_page::table_page(const table_page& other354) {
+  revision = other354.revision;
+  config_version = other354.config_version;
+  full = other354.full;
+  start = other354.start;
+  position = other354.position;
+  complete = other354.complete;
+  digest = other354.digest;
+  services = other354.services;
+  targets = other354.targets;
+  nodes = other354.nodes;
+  tombstones = other354.tombstones;
+  routes = other354.routes;
+  document_version = other354.document_version;
+  __isset = other354.__isset;
+}
+table_page::table_page(table_page&& other355) noexcept {
+  revision = other355.revision;
+  config_version = other355.config_version;
+  full = other355.full;
+  start = std::move(other355.start);
+  position = std::move(other355.position);
+  complete = other355.complete;
+  digest = other355.digest;
+  services = std::move(other355.services);
+  targets = std::move(other355.targets);
+  nodes = std::move(other355.nodes);
+  tombstones = std::move(other355.tombstones);
+  routes = std::move(other355.routes);
+  document_version = other355.document_version;
+  __isset = other355.__isset;
+}
+table_page& table_page::operator=(const table_page& other356) {
+  revision = other356.revision;
+  config_version = other356.config_version;
+  full = other356.full;
+  start = other356.start;
+  position = other356.position;
+  complete = other356.complete;
+  digest = other356.digest;
+  services = other356.services;
+  targets = other356.targets;
+  nodes = other356.nodes;
+  tombstones = other356.tombstones;
+  routes = other356.routes;
+  document_version = other356.document_version;
+  __isset = other356.__isset;
+  return *this;
+}
+table_page& table_page::operator=(table_page&& other357) noexcept {
+  revision = other357.revision;
+  config_version = other357.config_version;
+  full = other357.full;
+  start = std::move(other357.start);
+  position = std::move(other357.position);
+  complete = other357.complete;
+  digest = other357.digest;
+  services = std::move(other357.services);
+  targets = std::move(other357.targets);
+  nodes = std::move(other357.nodes);
+  tombstones = std::move(other357.tombstones);
+  routes = std::move(other357.routes);
+  document_version = other357.document_version;
+  __isset = other357.__isset;
   return *this;
 }
 void table_page::printTo(std::ostream& out) const {
@@ -4217,50 +4284,50 @@
   swap(a.__isset, b.__isset);
 }
 
-pull_reply::pull_reply(const pull_reply& other354) {
-  nonce = other354.nonce;
-  age_ms = other354.age_ms;
-  page = other354.page;
-  crowded = other354.crowded;
-  parents = other354.parents;
-  confirm = other354.confirm;
-  confirmed = other354.confirmed;
-  leader = other354.leader;
-  __isset = other354.__isset;
+pull_reply::pull_reply(const pull_reply& other364) {
+  nonce = other364.nonce;
+  age_ms = other364.age_ms;
+  page = other364.page;
+  crowded = other364.crowded;
+  parents = other364.parents;
+  confirm = other364.confirm;
+  confirmed = other364.confirmed;
+  leader = other364.leader;
+  __isset = other364.__isset;
 }
-pull_reply::pull_reply(pull_reply&& other355) noexcept {
-  nonce = other355.nonce;
-  age_ms = other355.age_ms;
-  page = std::move(other355.page);
-  crowded = other355.crowded;
-  parents = std::move(other355.parents);
-  confirm = other355.confirm;
-  confirmed = other355.confirmed;
-  leader = std::move(other355.leader);
-  __isset = other355.__isset;
+pull_reply::pull_reply(pull_reply&& other365) noexcept {
+  nonce = other365.nonce;
+  age_ms = other365.age_ms;
+  page = std::move(other365.page);
+  crowded = other365.crowded;
+  parents = std::move(other365.parents);
+  confirm = other365.confirm;
+  confirmed = other365.confirmed;
+  leader = std::move(other365.leader);
+  __isset = other365.__isset;
 }
-pull_reply& pull_reply::operator=(const pull_reply& other356) {
-  nonce = other356.nonce;
-  age_ms = other356.age_ms;
-  page = other356.page;
-  crowded = other356.crowded;
-  parents = other356.parents;
-  confirm = other356.confirm;
-  confirmed = other356.confirmed;
-  leader = other356.leader;
-  __isset = other356.__isset;
+pull_reply& pull_reply::operator=(const pull_reply& other366) {
+  nonce = other366.nonce;
+  age_ms = other366.age_ms;
+  page = other366.page;
+  crowded = other366.crowded;
+  parents = other366.parents;
+  confirm = other366.confirm;
+  confirmed = other366.confirmed;
+  leader = other366.leader;
+  __isset = other366.__isset;
   return *this;
 }
-pull_reply& pull_reply::operator=(pull_reply&& other357) noexcept {
-  nonce = other357.nonce;
-  age_ms = other357.age_ms;
-  page = std::move(other357.page);
-  crowded = other357.crowded;
-  parents = std::move(other357.parents);
-  confirm = other357.confirm;
-  confirmed = other357.confirmed;
-  leader = std::move(other357.leader);
-  __isset = other357.__isset;
+pull_reply& pull_reply::operator=(pull_reply&& other367) noexcept {
+  nonce = other367.nonce;
+  age_ms = other367.age_ms;
+  page = std::move(other367.page);
+  crowded = other367.crowded;
+  parents = std::move(other367.parents);
+  confirm = other367.confirm;
+  confirmed = other367.confirmed;
+  leader = std::move(other367.leader);
+  __isset = other367.__isset;
   return *this;
 }
 void pull_reply::printTo(std::ostream& out) const {
@@ -4297,18 +4364,18 @@
   swap(a.revision, b.revision);
 }
 
-change_notice::change_notice(const change_notice& other358) noexcept {
-  revision = other358.revision;
+change_notice::change_notice(const change_notice& other368) noexcept {
+  revision = other368.revision;
 }
-change_notice::change_notice(change_notice&& other359) noexcept {
-  revision = other359.revision;
+change_notice::change_notice(change_notice&& other369) noexcept {
+  revision = other369.revision;
 }
-change_notice& change_notice::operator=(const change_notice& other360) noexcept {
-  revision = other360.revision;
+change_notice& change_notice::operator=(const change_notice& other370) noexcept {
+  revision = other370.revision;
   return *this;
 }
-change_notice& change_notice::operator=(change_notice&& other361) noexcept {
-  revision = other361.revision;
+change_notice& change_notice::operator=(change_notice&& other371) noexcept {
+  revision = other371.revision;
   return *this;
 }
 void change_notice::printTo(std::ostream& out) const {
@@ -4392,62 +4459,62 @@
   swap(a.__isset, b.__isset);
 }
 
-announce::announce(const announce& other362) {
-  nonce = other362.nonce;
-  role = other362.role;
-  name = other362.name;
-  zone = other362.zone;
-  address = other362.address;
-  reply_to = other362.reply_to;
-  service_name = other362.service_name;
-  slots = other362.slots;
-  connections = other362.connections;
-  state = other362.state;
-  hops = other362.hops;
-  __isset = other362.__isset;
-}
-announce::announce(announce&& other363) noexcept {
-  nonce = other363.nonce;
-  role = other363.role;
-  name = std::move(other363.name);
-  zone = std::move(other363.zone);
-  address = std::move(other363.address);
-  reply_to = std::move(other363.reply_to);
-  service_name = std::move(other363.service_name);
-  slots = other363.slots;
-  connections = other363.connections;
-  state = other363.state;
-  hops = other363.hops;
-  __isset = other363.__isset;
-}
-announce& announce::operator=(const announce& other364) {
-  nonce = other364.nonce;
-  role = other364.role;
-  name = other364.name;
-  zone = other364.zone;
-  address = other364.address;
-  reply_to = other364.reply_to;
-  service_name = other364.service_name;
-  slots = other364.slots;
-  connections = other364.connections;
-  state = other364.state;
-  hops = other364.hops;
-  __isset = other364.__isset;
-  return *this;
-}
-announce& announce::operator=(announce&& other365) noexcept {
-  nonce = other365.nonce;
-  role = other365.role;
-  name = std::move(other365.name);
-  zone = std::move(other365.zone);
-  address = std::move(other365.address);
-  reply_to = std::move(other365.reply_to);
-  service_name = std::move(other365.service_name);
-  slots = other365.slots;
-  connections = other365.connections;
-  state = other365.state;
-  hops = other365.hops;
-  __isset = other365.__isset;
+announce::announce(const announce& other372) {
+  nonce = other372.nonce;
+  role = other372.role;
+  name = other372.name;
+  zone = other372.zone;
+  address = other372.address;
+  reply_to = other372.reply_to;
+  service_name = other372.service_name;
+  slots = other372.slots;
+  connections = other372.connections;
+  state = other372.state;
+  hops = other372.hops;
+  __isset = other372.__isset;
+}
+announce::announce(announce&& other373) noexcept {
+  nonce = other373.nonce;
+  role = other373.role;
+  name = std::move(other373.name);
+  zone = std::move(other373.zone);
+  address = std::move(other373.address);
+  reply_to = std::move(other373.reply_to);
+  service_name = std::move(other373.service_name);
+  slots = other373.slots;
+  connections = other373.connections;
+  state = other373.state;
+  hops = other373.hops;
+  __isset = other373.__isset;
+}
+announce& announce::operator=(const announce& other374) {
+  nonce = other374.nonce;
+  role = other374.role;
+  name = other374.name;
+  zone = other374.zone;
+  address = other374.address;
+  reply_to = other374.reply_to;
+  service_name = other374.service_name;
+  slots = other374.slots;
+  connections = other374.connections;
+  state = other374.state;
+  hops = other374.hops;
+  __isset = other374.__isset;
+  return *this;
+}
+announce& announce::operator=(announce&& other375) noexcept {
+  nonce = other375.nonce;
+  role = other375.role;
+  name = std::move(other375.name);
+  zone = std::move(other375.zone);
+  address = std::move(other375.address);
+  reply_to = std::move(other375.reply_to);
+  service_name = std::move(other375.service_name);
+  slots = other375.slots;
+  connections = other375.connections;
+  state = other375.state;
+  hops = other375.hops;
+  __isset = other375.__isset;
   return *this;
 }
 void announce::printTo(std::ostream& out) const {
@@ -4507,34 +4574,34 @@
   swap(a.retry_after_ms, b.retry_after_ms);
 }
 
-announce_reply::announce_reply(const announce_reply& other366) noexcept {
-  nonce = other366.nonce;
-  incarnation = other366.incarnation;
-  code = other366.code;
-  revision = other366.revision;
-  retry_after_ms = other366.retry_after_ms;
+announce_reply::announce_reply(const announce_reply& other376) noexcept {
+  nonce = other376.nonce;
+  incarnation = other376.incarnation;
+  code = other376.code;
+  revision = other376.revision;
+  retry_after_ms = other376.retry_after_ms;
 }
-announce_reply::announce_reply(announce_reply&& other367) noexcept {
-  nonce = other367.nonce;
-  incarnation = other367.incarnation;
-  code = other367.code;
-  revision = other367.revision;
-  retry_after_ms = other367.retry_after_ms;
-}
-announce_reply& announce_reply::operator=(const announce_reply& other368) noexcept {
-  nonce = other368.nonce;
-  incarnation = other368.incarnation;
-  code = other368.code;
-  revision = other368.revision;
-  retry_after_ms = other368.retry_after_ms;
+announce_reply::announce_reply(announce_reply&& other377) noexcept {
+  nonce = other377.nonce;
+  incarnation = other377.incarnation;
+  code = other377.code;
+  revision = other377.revision;
+  retry_after_ms = other377.retry_after_ms;
+}
+announce_reply& announce_reply::operator=(const announce_reply& other378) noexcept {
+  nonce = other378.nonce;
+  incarnation = other378.incarnation;
+  code = other378.code;
+  revision = other378.revision;
+  retry_after_ms = other378.retry_after_ms;
   return *this;
 }
-announce_reply& announce_reply::operator=(announce_reply&& other369) noexcept {
-  nonce = other369.nonce;
-  incarnation = other369.incarnation;
-  code = other369.code;
-  revision = other369.revision;
-  retry_after_ms = other369.retry_after_ms;
+announce_reply& announce_reply::operator=(announce_reply&& other379) noexcept {
+  nonce = other379.nonce;
+  incarnation = other379.incarnation;
+  code = other379.code;
+  revision = other379.revision;
+  retry_after_ms = other379.retry_after_ms;
   return *this;
 }
 void announce_reply::printTo(std::ostream& out) const {
@@ -4578,26 +4645,26 @@
   swap(a.silent_ms, b.silent_ms);
 }
 
-child_report::child_report(const child_report& other370) noexcept {
-  node = other370.node;
-  revision = other370.revision;
-  silent_ms = other370.silent_ms;
+child_report::child_report(const child_report& other380) noexcept {
+  node = other380.node;
+  revision = other380.revision;
+  silent_ms = other380.silent_ms;
 }
-child_report::child_report(child_report&& other371) noexcept {
-  node = other371.node;
-  revision = other371.revision;
-  silent_ms = other371.silent_ms;
+child_report::child_report(child_report&& other381) noexcept {
+  node = other381.node;
+  revision = other381.revision;
+  silent_ms = other381.silent_ms;
 }
-child_report& child_report::operator=(const child_report& other372) noexcept {
-  node = other372.node;
-  revision = other372.revision;
-  silent_ms = other372.silent_ms;
+child_report& child_report::operator=(const child_report& other382) noexcept {
+  node = other382.node;
+  revision = other382.revision;
+  silent_ms = other382.silent_ms;
   return *this;
 }
-child_report& child_report::operator=(child_report&& other373) noexcept {
-  node = other373.node;
-  revision = other373.revision;
-  silent_ms = other373.silent_ms;
+child_report& child_report::operator=(child_report&& other383) noexcept {
+  node = other383.node;
+  revision = other383.revision;
+  silent_ms = other383.silent_ms;
   return *this;
 }
 void child_report::printTo(std::ostream& out) const {
@@ -4659,42 +4726,42 @@
   swap(a.live_children, b.live_children);
 }
 
-relay_report::relay_report(const relay_report& other380) {
-  relay = other380.relay;
-  nonce = other380.nonce;
-  sequence = other380.sequence;
-  full = other380.full;
-  children = other380.children;
-  lowest_revision = other380.lowest_revision;
-  live_children = other380.live_children;
-}
-relay_report::relay_report(relay_report&& other381) noexcept {
-  relay = other381.relay;
-  nonce = other381.nonce;
-  sequence = other381.sequence;
-  full = other381.full;
-  children = std::move(other381.children);
-  lowest_revision = other381.lowest_revision;
-  live_children = other381.live_children;
-}
-relay_report& relay_report::operator=(const relay_report& other382) {
-  relay = other382.relay;
-  nonce = other382.nonce;
-  sequence = other382.sequence;
-  full = other382.full;
-  children = other382.children;
-  lowest_revision = other382.lowest_revision;
-  live_children = other382.live_children;
-  return *this;
-}
-relay_report& relay_report::operator=(relay_report&& other383) noexcept {
-  relay = other383.relay;
-  nonce = other383.nonce;
-  sequence = other383.sequence;
-  full = other383.full;
-  children = std::move(other383.children);
-  lowest_revision = other383.lowest_revision;
-  live_children = other383.live_children;
+relay_report::relay_report(const relay_report& other390) {
+  relay = other390.relay;
+  nonce = other390.nonce;
+  sequence = other390.sequence;
+  full = other390.full;
+  children = other390.children;
+  lowest_revision = other390.lowest_revision;
+  live_children = other390.live_children;
+}
+relay_report::relay_report(relay_report&& other391) noexcept {
+  relay = other391.relay;
+  nonce = other391.nonce;
+  sequence = other391.sequence;
+  full = other391.full;
+  children = std::move(other391.children);
+  lowest_revision = other391.lowest_revision;
+  live_children = other391.live_children;
+}
+relay_report& relay_report::operator=(const relay_report& other392) {
+  relay = other392.relay;
+  nonce = other392.nonce;
+  sequence = other392.sequence;
+  full = other392.full;
+  children = other392.children;
+  lowest_revision = other392.lowest_revision;
+  live_children = other392.live_children;
+  return *this;
+}
+relay_report& relay_report::operator=(relay_report&& other393) noexcept {
+  relay = other393.relay;
+  nonce = other393.nonce;
+  sequence = other393.sequence;
+  full = other393.full;
+  children = std::move(other393.children);
+  lowest_revision = other393.lowest_revision;
+  live_children = other393.live_children;
   return *this;
 }
 void relay_report::printTo(std::ostream& out) const {
@@ -4740,26 +4807,26 @@
   swap(a.send_full, b.send_full);
 }
 
-relay_report_reply::relay_report_reply(const relay_report_reply& other384) noexcept {
-  nonce = other384.nonce;
-  sequence = other384.sequence;
-  send_full = other384.send_full;
+relay_report_reply::relay_report_reply(const relay_report_reply& other394) noexcept {
+  nonce = other394.nonce;
+  sequence = other394.sequence;
+  send_full = other394.send_full;
 }
-relay_report_reply::relay_report_reply(relay_report_reply&& other385) noexcept {
-  nonce = other385.nonce;
-  sequence = other385.sequence;
-  send_full = other385.send_full;
+relay_report_reply::relay_report_reply(relay_report_reply&& other395) noexcept {
+  nonce = other395.nonce;
+  sequence = other395.sequence;
+  send_full = other395.send_full;
 }
-relay_report_reply& relay_report_reply::operator=(const relay_report_reply& other386) noexcept {
-  nonce = other386.nonce;
-  sequence = other386.sequence;
-  send_full = other386.send_full;
+relay_report_reply& relay_report_reply::operator=(const relay_report_reply& other396) noexcept {
+  nonce = other396.nonce;
+  sequence = other396.sequence;
+  send_full = other396.send_full;
   return *this;
 }
-relay_report_reply& relay_report_reply::operator=(relay_report_reply&& other387) noexcept {
-  nonce = other387.nonce;
-  sequence = other387.sequence;
-  send_full = other387.send_full;
+relay_report_reply& relay_report_reply::operator=(relay_report_reply&& other397) noexcept {
+  nonce = other397.nonce;
+  sequence = other397.sequence;
+  send_full = other397.send_full;
   return *this;
 }
 void relay_report_reply::printTo(std::ostream& out) const {
@@ -4791,18 +4858,18 @@
   swap(a.nonce, b.nonce);
 }
 
-flow_open::flow_open(const flow_open& other388) noexcept {
-  nonce = other388.nonce;
+flow_open::flow_open(const flow_open& other398) noexcept {
+  nonce = other398.nonce;
 }
-flow_open::flow_open(flow_open&& other389) noexcept {
-  nonce = other389.nonce;
+flow_open::flow_open(flow_open&& other399) noexcept {
+  nonce = other399.nonce;
 }
-flow_open& flow_open::operator=(const flow_open& other390) noexcept {
-  nonce = other390.nonce;
+flow_open& flow_open::operator=(const flow_open& other400) noexcept {
+  nonce = other400.nonce;
   return *this;
 }
-flow_open& flow_open::operator=(flow_open&& other391) noexcept {
-  nonce = other391.nonce;
+flow_open& flow_open::operator=(flow_open&& other401) noexcept {
+  nonce = other401.nonce;
   return *this;
 }
 void flow_open::printTo(std::ostream& out) const {
@@ -4842,26 +4909,26 @@
   swap(a.token, b.token);
 }
 
-flow_open_ack::flow_open_ack(const flow_open_ack& other392) noexcept {
-  nonce = other392.nonce;
-  incarnation = other392.incarnation;
-  token = other392.token;
+flow_open_ack::flow_open_ack(const flow_open_ack& other402) noexcept {
+  nonce = other402.nonce;
+  incarnation = other402.incarnation;
+  token = other402.token;
 }
-flow_open_ack::flow_open_ack(flow_open_ack&& other393) noexcept {
-  nonce = other393.nonce;
-  incarnation = other393.incarnation;
-  token = other393.token;
+flow_open_ack::flow_open_ack(flow_open_ack&& other403) noexcept {
+  nonce = other403.nonce;
+  incarnation = other403.incarnation;
+  token = other403.token;
 }
-flow_open_ack& flow_open_ack::operator=(const flow_open_ack& other394) noexcept {
-  nonce = other394.nonce;
-  incarnation = other394.incarnation;
-  token = other394.token;
+flow_open_ack& flow_open_ack::operator=(const flow_open_ack& other404) noexcept {
+  nonce = other404.nonce;
+  incarnation = other404.incarnation;
+  token = other404.token;
   return *this;
 }
-flow_open_ack& flow_open_ack::operator=(flow_open_ack&& other395) noexcept {
-  nonce = other395.nonce;
-  incarnation = other395.incarnation;
-  token = other395.token;
+flow_open_ack& flow_open_ack::operator=(flow_open_ack&& other405) noexcept {
+  nonce = other405.nonce;
+  incarnation = other405.incarnation;
+  token = other405.token;
   return *this;
 }
 void flow_open_ack::printTo(std::ostream& out) const {
@@ -4898,22 +4965,22 @@
   swap(a.reason, b.reason);
 }
 
-flow_refused::flow_refused(const flow_refused& other396) noexcept {
-  nonce = other396.nonce;
-  reason = other396.reason;
+flow_refused::flow_refused(const flow_refused& other406) noexcept {
+  nonce = other406.nonce;
+  reason = other406.reason;
 }
-flow_refused::flow_refused(flow_refused&& other397) noexcept {
-  nonce = other397.nonce;
-  reason = other397.reason;
+flow_refused::flow_refused(flow_refused&& other407) noexcept {
+  nonce = other407.nonce;
+  reason = other407.reason;
 }
-flow_refused& flow_refused::operator=(const flow_refused& other398) noexcept {
-  nonce = other398.nonce;
-  reason = other398.reason;
+flow_refused& flow_refused::operator=(const flow_refused& other408) noexcept {
+  nonce = other408.nonce;
+  reason = other408.reason;
   return *this;
 }
-flow_refused& flow_refused::operator=(flow_refused&& other399) noexcept {
-  nonce = other399.nonce;
-  reason = other399.reason;
+flow_refused& flow_refused::operator=(flow_refused&& other409) noexcept {
+  nonce = other409.nonce;
+  reason = other409.reason;
   return *this;
 }
 void flow_refused::printTo(std::ostream& out) const {
@@ -4979,46 +5046,46 @@
   swap(a.body, b.body);
 }
 
-request::request(const request& other400) {
-  incarnation = other400.incarnation;
-  token = other400.token;
-  sequence = other400.sequence;
-  settled_below = other400.settled_below;
-  idempotent = other400.idempotent;
-  remaining_ms = other400.remaining_ms;
-  method = other400.method;
-  body = other400.body;
-}
-request::request(request&& other401) noexcept {
-  incarnation = other401.incarnation;
-  token = other401.token;
-  sequence = other401.sequence;
-  settled_below = other401.settled_below;
-  idempotent = other401.idempotent;
-  remaining_ms = other401.remaining_ms;
-  method = std::move(other401.method);
-  body = std::move(other401.body);
-}
-request& request::operator=(const request& other402) {
-  incarnation = other402.incarnation;
-  token = other402.token;
-  sequence = other402.sequence;
-  settled_below = other402.settled_below;
-  idempotent = other402.idempotent;
-  remaining_ms = other402.remaining_ms;
-  method = other402.method;
-  body = other402.body;
-  return *this;
-}
-request& request::operator=(request&& other403) noexcept {
-  incarnation = other403.incarnation;
-  token = other403.token;
-  sequence = other403.sequence;
-  settled_below = other403.settled_below;
-  idempotent = other403.idempotent;
-  remaining_ms = other403.remaining_ms;
-  method = std::move(other403.method);
-  body = std::move(other403.body);
+request::request(const request& other410) {
+  incarnation = other410.incarnation;
+  token = other410.token;
+  sequence = other410.sequence;
+  settled_below = other410.settled_below;
+  idempotent = other410.idempotent;
+  remaining_ms = other410.remaining_ms;
+  method = other410.method;
+  body = other410.body;
+}
+request::request(request&& other411) noexcept {
+  incarnation = other411.incarnation;
+  token = other411.token;
+  sequence = other411.sequence;
+  settled_below = other411.settled_below;
+  idempotent = other411.idempotent;
+  remaining_ms = other411.remaining_ms;
+  method = std::move(other411.method);
+  body = std::move(other411.body);
+}
+request& request::operator=(const request& other412) {
+  incarnation = other412.incarnation;
+  token = other412.token;
+  sequence = other412.sequence;
+  settled_below = other412.settled_below;
+  idempotent = other412.idempotent;
+  remaining_ms = other412.remaining_ms;
+  method = other412.method;
+  body = other412.body;
+  return *this;
+}
+request& request::operator=(request&& other413) noexcept {
+  incarnation = other413.incarnation;
+  token = other413.token;
+  sequence = other413.sequence;
+  settled_below = other413.settled_below;
+  idempotent = other413.idempotent;
+  remaining_ms = other413.remaining_ms;
+  method = std::move(other413.method);
+  body = std::move(other413.body);
   return *this;
 }
 void request::printTo(std::ostream& out) const {
@@ -5085,42 +5152,42 @@
   swap(a.bytes, b.bytes);
 }
 
-response_part::response_part(const response_part& other404) {
-  token = other404.token;
-  sequence = other404.sequence;
-  index = other404.index;
-  count = other404.count;
-  total_length = other404.total_length;
-  checksum = other404.checksum;
-  bytes = other404.bytes;
-}
-response_part::response_part(response_part&& other405) noexcept {
-  token = other405.token;
-  sequence = other405.sequence;
-  index = other405.index;
-  count = other405.count;
-  total_length = other405.total_length;
-  checksum = other405.checksum;
-  bytes = std::move(other405.bytes);
-}
-response_part& response_part::operator=(const response_part& other406) {
-  token = other406.token;
-  sequence = other406.sequence;
-  index = other406.index;
-  count = other406.count;
-  total_length = other406.total_length;
-  checksum = other406.checksum;
-  bytes = other406.bytes;
-  return *this;
-}
-response_part& response_part::operator=(response_part&& other407) noexcept {
-  token = other407.token;
-  sequence = other407.sequence;
-  index = other407.index;
-  count = other407.count;
-  total_length = other407.total_length;
-  checksum = other407.checksum;
-  bytes = std::move(other407.bytes);
+response_part::response_part(const response_part& other414) {
+  token = other414.token;
+  sequence = other414.sequence;
+  index = other414.index;
+  count = other414.count;
+  total_length = other414.total_length;
+  checksum = other414.checksum;
+  bytes = other414.bytes;
+}
+response_part::response_part(response_part&& other415) noexcept {
+  token = other415.token;
+  sequence = other415.sequence;
+  index = other415.index;
+  count = other415.count;
+  total_length = other415.total_length;
+  checksum = other415.checksum;
+  bytes = std::move(other415.bytes);
+}
+response_part& response_part::operator=(const response_part& other416) {
+  token = other416.token;
+  sequence = other416.sequence;
+  index = other416.index;
+  count = other416.count;
+  total_length = other416.total_length;
+  checksum = other416.checksum;
+  bytes = other416.bytes;
+  return *this;
+}
+response_part& response_part::operator=(response_part&& other417) noexcept {
+  token = other417.token;
+  sequence = other417.sequence;
+  index = other417.index;
+  count = other417.count;
+  total_length = other417.total_length;
+  checksum = other417.checksum;
+  bytes = std::move(other417.bytes);
   return *this;
 }
 void response_part::printTo(std::ostream& out) const {
@@ -5171,30 +5238,30 @@
   swap(a.reason, b.reason);
 }
 
-request_result::request_result(const request_result& other408) noexcept {
-  token = other408.token;
-  sequence = other408.sequence;
-  status = other408.status;
-  reason = other408.reason;
+request_result::request_result(const request_result& other418) noexcept {
+  token = other418.token;
+  sequence = other418.sequence;
+  status = other418.status;
+  reason = other418.reason;
 }
-request_result::request_result(request_result&& other409) noexcept {
-  token = other409.token;
-  sequence = other409.sequence;
-  status = other409.status;
-  reason = other409.reason;
+request_result::request_result(request_result&& other419) noexcept {
+  token = other419.token;
+  sequence = other419.sequence;
+  status = other419.status;
+  reason = other419.reason;
 }
-request_result& request_result::operator=(const request_result& other410) noexcept {
-  token = other410.token;
-  sequence = other410.sequence;
-  status = other410.status;
-  reason = other410.reason;
+request_result& request_result::operator=(const request_result& other420) noexcept {
+  token = other420.token;
+  sequence = other420.sequence;
+  status = other420.status;
+  reason = other420.reason;
   return *this;
 }
-request_result& request_result::operator=(request_result&& other411) noexcept {
-  token = other411.token;
-  sequence = other411.sequence;
-  status = other411.status;
-  reason = other411.reason;
+request_result& request_result::operator=(request_result&& other421) noexcept {
+  token = other421.token;
+  sequence = other421.sequence;
+  status = other421.status;
+  reason = other421.reason;
   return *this;
 }
 void request_result::printTo(std::ostream& out) const {
@@ -5237,26 +5304,26 @@
   swap(a.missing, b.missing);
 }
 
-part_request::part_request(const part_request& other418) {
-  token = other418.token;
-  sequence = other418.sequence;
-  missing = other418.missing;
+part_request::part_request(const part_request& other428) {
+  token = other428.token;
+  sequence = other428.sequence;
+  missing = other428.missing;
 }
-part_request::part_request(part_request&& other419) noexcept {
-  token = other419.token;
-  sequence = other419.sequence;
-  missing = std::move(other419.missing);
+part_request::part_request(part_request&& other429) noexcept {
+  token = other429.token;
+  sequence = other429.sequence;
+  missing = std::move(other429.missing);
 }
-part_request& part_request::operator=(const part_request& other420) {
-  token = other420.token;
-  sequence = other420.sequence;
-  missing = other420.missing;
+part_request& part_request::operator=(const part_request& other430) {
+  token = other430.token;
+  sequence = other430.sequence;
+  missing = other430.missing;
   return *this;
 }
-part_request& part_request::operator=(part_request&& other421) noexcept {
-  token = other421.token;
-  sequence = other421.sequence;
-  missing = std::move(other421.missing);
+part_request& part_request::operator=(part_request&& other431) noexcept {
+  token = other431.token;
+  sequence = other431.sequence;
+  missing = std::move(other431.missing);
   return *this;
 }
 void part_request::printTo(std::ostream& out) const {
@@ -5298,26 +5365,26 @@
   swap(a.sequence, b.sequence);
 }
 
-request_cancel::request_cancel(const request_cancel& other422) noexcept {
-  incarnation = other422.incarnation;
-  token = other422.token;
-  sequence = other422.sequence;
+request_cancel::request_cancel(const request_cancel& other432) noexcept {
+  incarnation = other432.incarnation;
+  token = other432.token;
+  sequence = other432.sequence;
 }
-request_cancel::request_cancel(request_cancel&& other423) noexcept {
-  incarnation = other423.incarnation;
-  token = other423.token;
-  sequence = other423.sequence;
+request_cancel::request_cancel(request_cancel&& other433) noexcept {
+  incarnation = other433.incarnation;
+  token = other433.token;
+  sequence = other433.sequence;
 }
-request_cancel& request_cancel::operator=(const request_cancel& other424) noexcept {
-  incarnation = other424.incarnation;
-  token = other424.token;
-  sequence = other424.sequence;
+request_cancel& request_cancel::operator=(const request_cancel& other434) noexcept {
+  incarnation = other434.incarnation;
+  token = other434.token;
+  sequence = other434.sequence;
   return *this;
 }
-request_cancel& request_cancel::operator=(request_cancel&& other425) noexcept {
-  incarnation = other425.incarnation;
-  token = other425.token;
-  sequence = other425.sequence;
+request_cancel& request_cancel::operator=(request_cancel&& other435) noexcept {
+  incarnation = other435.incarnation;
+  token = other435.token;
+  sequence = other435.sequence;
   return *this;
 }
 void request_cancel::printTo(std::ostream& out) const {
@@ -5354,22 +5421,22 @@
   swap(a.token, b.token);
 }
 
-flow_close::flow_close(const flow_close& other426) noexcept {
-  incarnation = other426.incarnation;
-  token = other426.token;
+flow_close::flow_close(const flow_close& other436) noexcept {
+  incarnation = other436.incarnation;
+  token = other436.token;
 }
-flow_close::flow_close(flow_close&& other427) noexcept {
-  incarnation = other427.incarnation;
-  token = other427.token;
+flow_close::flow_close(flow_close&& other437) noexcept {
+  incarnation = other437.incarnation;
+  token = other437.token;
 }
-flow_close& flow_close::operator=(const flow_close& other428) noexcept {
-  incarnation = other428.incarnation;
-  token = other428.token;
+flow_close& flow_close::operator=(const flow_close& other438) noexcept {
+  incarnation = other438.incarnation;
+  token = other438.token;
   return *this;
 }
-flow_close& flow_close::operator=(flow_close&& other429) noexcept {
-  incarnation = other429.incarnation;
-  token = other429.token;
+flow_close& flow_close::operator=(flow_close&& other439) noexcept {
+  incarnation = other439.incarnation;
+  token = other439.token;
   return *this;
 }
 void flow_close::printTo(std::ostream& out) const {
@@ -5400,18 +5467,18 @@
   swap(a.token, b.token);
 }
 
-flow_close_ack::flow_close_ack(const flow_close_ack& other430) noexcept {
-  token = other430.token;
+flow_close_ack::flow_close_ack(const flow_close_ack& other440) noexcept {
+  token = other440.token;
 }
-flow_close_ack::flow_close_ack(flow_close_ack&& other431) noexcept {
-  token = other431.token;
+flow_close_ack::flow_close_ack(flow_close_ack&& other441) noexcept {
+  token = other441.token;
 }
-flow_close_ack& flow_close_ack::operator=(const flow_close_ack& other432) noexcept {
-  token = other432.token;
+flow_close_ack& flow_close_ack::operator=(const flow_close_ack& other442) noexcept {
+  token = other442.token;
   return *this;
 }
-flow_close_ack& flow_close_ack::operator=(flow_close_ack&& other433) noexcept {
-  token = other433.token;
+flow_close_ack& flow_close_ack::operator=(flow_close_ack&& other443) noexcept {
+  token = other443.token;
   return *this;
 }
 void flow_close_ack::printTo(std::ostream& out) const {
@@ -5446,22 +5513,22 @@
   swap(a.token, b.token);
 }
 
-flow_reset::flow_reset(const flow_reset& other434) noexcept {
-  incarnation = other434.incarnation;
-  token = other434.token;
+flow_reset::flow_reset(const flow_reset& other444) noexcept {
+  incarnation = other444.incarnation;
+  token = other444.token;
 }
-flow_reset::flow_reset(flow_reset&& other435) noexcept {
-  incarnation = other435.incarnation;
-  token = other435.token;
+flow_reset::flow_reset(flow_reset&& other445) noexcept {
+  incarnation = other445.incarnation;
+  token = other445.token;
 }
-flow_reset& flow_reset::operator=(const flow_reset& other436) noexcept {
-  incarnation = other436.incarnation;
-  token = other436.token;
+flow_reset& flow_reset::operator=(const flow_reset& other446) noexcept {
+  incarnation = other446.incarnation;
+  token = other446.token;
   return *this;
 }
-flow_reset& flow_reset::operator=(flow_reset&& other437) noexcept {
-  incarnation = other437.incarnation;
-  token = other437.token;
+flow_reset& flow_reset::operator=(flow_reset&& other447) noexcept {
+  incarnation = other447.incarnation;
+  token = other447.token;
   return *this;
 }
 void flow_reset::printTo(std::ostream& out) const {
@@ -5502,26 +5569,26 @@
   swap(a.bytes, b.bytes);
 }
 
-push::push(const push& other438) {
-  token = other438.token;
-  sequence = other438.sequence;
-  bytes = other438.bytes;
+push::push(const push& other448) {
+  token = other448.token;
+  sequence = other448.sequence;
+  bytes = other448.bytes;
 }
-push::push(push&& other439) noexcept {
-  token = other439.token;
-  sequence = other439.sequence;
-  bytes = std::move(other439.bytes);
+push::push(push&& other449) noexcept {
+  token = other449.token;
+  sequence = other449.sequence;
+  bytes = std::move(other449.bytes);
 }
-push& push::operator=(const push& other440) {
-  token = other440.token;
-  sequence = other440.sequence;
-  bytes = other440.bytes;
+push& push::operator=(const push& other450) {
+  token = other450.token;
+  sequence = other450.sequence;
+  bytes = other450.bytes;
   return *this;
 }
-push& push::operator=(push&& other441) noexcept {
-  token = other441.token;
-  sequence = other441.sequence;
-  bytes = std::move(other441.bytes);
+push& push::operator=(push&& other451) noexcept {
+  token = other451.token;
+  sequence = other451.sequence;
+  bytes = std::move(other451.bytes);
   return *this;
 }
 void push::printTo(std::ostream& out) const {
@@ -5558,22 +5625,22 @@
   swap(a.sequence, b.sequence);
 }
 
-push_ack::push_ack(const push_ack& other442) noexcept {
-  token = other442.token;
-  sequence = other442.sequence;
+push_ack::push_ack(const push_ack& other452) noexcept {
+  token = other452.token;
+  sequence = other452.sequence;
 }
-push_ack::push_ack(push_ack&& other443) noexcept {
-  token = other443.token;
-  sequence = other443.sequence;
+push_ack::push_ack(push_ack&& other453) noexcept {
+  token = other453.token;
+  sequence = other453.sequence;
 }
-push_ack& push_ack::operator=(const push_ack& other444) noexcept {
-  token = other444.token;
-  sequence = other444.sequence;
+push_ack& push_ack::operator=(const push_ack& other454) noexcept {
+  token = other454.token;
+  sequence = other454.sequence;
   return *this;
 }
-push_ack& push_ack::operator=(push_ack&& other445) noexcept {
-  token = other445.token;
-  sequence = other445.sequence;
+push_ack& push_ack::operator=(push_ack&& other455) noexcept {
+  token = other455.token;
+  sequence = other455.sequence;
   return *this;
 }
 void push_ack::printTo(std::ostream& out) const {
@@ -5604,18 +5671,18 @@
   swap(a.token, b.token);
 }
 
-flow_keepalive::flow_keepalive(const flow_keepalive& other446) noexcept {
-  token = other446.token;
+flow_keepalive::flow_keepalive(const flow_keepalive& other456) noexcept {
+  token = other456.token;
 }
-flow_keepalive::flow_keepalive(flow_keepalive&& other447) noexcept {
-  token = other447.token;
+flow_keepalive::flow_keepalive(flow_keepalive&& other457) noexcept {
+  token = other457.token;
 }
-flow_keepalive& flow_keepalive::operator=(const flow_keepalive& other448) noexcept {
-  token = other448.token;
+flow_keepalive& flow_keepalive::operator=(const flow_keepalive& other458) noexcept {
+  token = other458.token;
   return *this;
 }
-flow_keepalive& flow_keepalive::operator=(flow_keepalive&& other449) noexcept {
-  token = other449.token;
+flow_keepalive& flow_keepalive::operator=(flow_keepalive&& other459) noexcept {
+  token = other459.token;
   return *this;
 }
 void flow_keepalive::printTo(std::ostream& out) const {
@@ -5645,18 +5712,18 @@
   swap(a.token, b.token);
 }
 
-flow_draining::flow_draining(const flow_draining& other450) noexcept {
-  token = other450.token;
+flow_draining::flow_draining(const flow_draining& other460) noexcept {
+  token = other460.token;
 }
-flow_draining::flow_draining(flow_draining&& other451) noexcept {
-  token = other451.token;
+flow_draining::flow_draining(flow_draining&& other461) noexcept {
+  token = other461.token;
 }
-flow_draining& flow_draining::operator=(const flow_draining& other452) noexcept {
-  token = other452.token;
+flow_draining& flow_draining::operator=(const flow_draining& other462) noexcept {
+  token = other462.token;
   return *this;
 }
-flow_draining& flow_draining::operator=(flow_draining&& other453) noexcept {
-  token = other453.token;
+flow_draining& flow_draining::operator=(flow_draining&& other463) noexcept {
+  token = other463.token;
   return *this;
 }
 void flow_draining::printTo(std::ostream& out) const {
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -107,6 +107,8 @@
 
 class vote_reply;
 
+class silent_member;
+
 class append_request;
 
 class append_reply;
@@ -2949,6 +2951,57 @@
 std::ostream& operator<<(std::ostream& out, const vote_reply& obj);
 
 
+class silent_member {
+ public:
+
+  silent_member(const silent_member&) noexcept;
+  silent_member(silent_member&&) noexcept;
+  silent_member& operator=(const silent_member&) noexcept;
+  silent_member& operator=(silent_member&&) noexcept;
+  silent_member() noexcept
+                : folder_id(0),
+                  silent_ms(0) {
+  }
+
+  virtual ~silent_member() noexcept;
+  int64_t folder_id;
+  int32_t silent_ms;
+
+  void __set_folder_id(const int64_t val);
+
+  void __set_silent_ms(const int32_t val);
+
+  bool operator == (const silent_member & rhs) const
+  {
+    if (!(folder_id == rhs.folder_id))
+      return false;
+    if (!(silent_ms == rhs.silent_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const silent_member &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const silent_member & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(silent_member &a, silent_member &b);
+
+std::ostream& operator<<(std::ostream& out, const silent_member& obj);
+
+typedef struct _append_request__isset {
+  _append_request__isset() : silent_members(false) {}
+  bool silent_members :1;
+} _append_request__isset;
+
 class append_request {
  public:
 
@@ -2975,6 +3028,9 @@
   int64_t round;
   std::vector<log_entry>  entries;
   int32_t quorum_age_ms;
+  std::vector<silent_member>  silent_members;
+
+  _append_request__isset __isset;
 
   void __set_term(const int64_t val);
 
@@ -2992,6 +3048,8 @@
 
   void __set_quorum_age_ms(const int32_t val);
 
+  void __set_silent_members(const std::vector<silent_member> & val);
+
   bool operator == (const append_request & rhs) const
   {
     if (!(term == rhs.term))
@@ -3010,6 +3068,10 @@
       return false;
     if (!(quorum_age_ms == rhs.quorum_age_ms))
       return false;
+    if (__isset.silent_members != rhs.__isset.silent_members)
+      return false;
+    else if (__isset.silent_members && !(silent_members == rhs.silent_members))
+      return false;
     return true;
   }
   bool operator != (const append_request &rhs) const {
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -5105,6 +5105,81 @@
   return xfer;
 }
 
+template <class Protocol_>
+uint32_t silent_member::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_folder_id = false;
+  bool isset_silent_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->folder_id);
+          isset_folder_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->silent_ms);
+          isset_silent_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_folder_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_silent_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t silent_member::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("silent_member");
+
+  xfer += oprot->writeFieldBegin("folder_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->folder_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silent_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->silent_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 template <class Protocol_>
 uint32_t append_request::read(Protocol_* iprot) {
 
@@ -5187,14 +5262,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size280;
-            ::apache::thrift::protocol::TType _etype283;
-            xfer += iprot->readListBegin(_etype283, _size280);
-            this->entries.resize(_size280);
-            uint32_t _i284;
-            for (_i284 = 0; _i284 < _size280; ++_i284)
+            uint32_t _size284;
+            ::apache::thrift::protocol::TType _etype287;
+            xfer += iprot->readListBegin(_etype287, _size284);
+            this->entries.resize(_size284);
+            uint32_t _i288;
+            for (_i288 = 0; _i288 < _size284; ++_i288)
             {
-              xfer += this->entries[_i284].read(iprot);
+              xfer += this->entries[_i288].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5211,6 +5286,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->silent_members.clear();
+            uint32_t _size289;
+            ::apache::thrift::protocol::TType _etype292;
+            xfer += iprot->readListBegin(_etype292, _size289);
+            this->silent_members.resize(_size289);
+            uint32_t _i293;
+            for (_i293 = 0; _i293 < _size289; ++_i293)
+            {
+              xfer += this->silent_members[_i293].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.silent_members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5272,10 +5367,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<log_entry> ::const_iterator _iter285;
-    for (_iter285 = this->entries.begin(); _iter285 != this->entries.end(); ++_iter285)
+    std::vector<log_entry> ::const_iterator _iter294;
+    for (_iter294 = this->entries.begin(); _iter294 != this->entries.end(); ++_iter294)
     {
-      xfer += (*_iter285).write(oprot);
+      xfer += (*_iter294).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5285,6 +5380,19 @@
   xfer += oprot->writeI32(this->quorum_age_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.silent_members) {
+    xfer += oprot->writeFieldBegin("silent_members", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->silent_members.size()));
+      std::vector<silent_member> ::const_iterator _iter295;
+      for (_iter295 = this->silent_members.begin(); _iter295 != this->silent_members.end(); ++_iter295)
+      {
+        xfer += (*_iter295).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6129,14 +6237,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size314;
-            ::apache::thrift::protocol::TType _etype317;
-            xfer += iprot->readListBegin(_etype317, _size314);
-            this->services.resize(_size314);
-            uint32_t _i318;
-            for (_i318 = 0; _i318 < _size314; ++_i318)
+            uint32_t _size324;
+            ::apache::thrift::protocol::TType _etype327;
+            xfer += iprot->readListBegin(_etype327, _size324);
+            this->services.resize(_size324);
+            uint32_t _i328;
+            for (_i328 = 0; _i328 < _size324; ++_i328)
             {
-              xfer += this->services[_i318].read(iprot);
+              xfer += this->services[_i328].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6149,14 +6257,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size319;
-            ::apache::thrift::protocol::TType _etype322;
-            xfer += iprot->readListBegin(_etype322, _size319);
-            this->targets.resize(_size319);
-            uint32_t _i323;
-            for (_i323 = 0; _i323 < _size319; ++_i323)
+            uint32_t _size329;
+            ::apache::thrift::protocol::TType _etype332;
+            xfer += iprot->readListBegin(_etype332, _size329);
+            this->targets.resize(_size329);
+            uint32_t _i333;
+            for (_i333 = 0; _i333 < _size329; ++_i333)
             {
-              xfer += this->targets[_i323].read(iprot);
+              xfer += this->targets[_i333].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6169,14 +6277,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size324;
-            ::apache::thrift::protocol::TType _etype327;
-            xfer += iprot->readListBegin(_etype327, _size324);
-            this->nodes.resize(_size324);
-            uint32_t _i328;
-            for (_i328 = 0; _i328 < _size324; ++_i328)
+            uint32_t _size334;
+            ::apache::thrift::protocol::TType _etype337;
+            xfer += iprot->readListBegin(_etype337, _size334);
+            this->nodes.resize(_size334);
+            uint32_t _i338;
+            for (_i338 = 0; _i338 < _size334; ++_i338)
             {
-              xfer += this->nodes[_i328].read(iprot);
+              xfer += this->nodes[_i338].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6189,14 +6297,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tombstones.clear();
-            uint32_t _size329;
-            ::apache::thrift::protocol::TType _etype332;
-            xfer += iprot->readListBegin(_etype332, _size329);
-            this->tombstones.resize(_size329);
-            uint32_t _i333;
-            for (_i333 = 0; _i333 < _size329; ++_i333)
+            uint32_t _size339;
+            ::apache::thrift::protocol::TType _etype342;
+            xfer += iprot->readListBegin(_etype342, _size339);
+            this->tombstones.resize(_size339);
+            uint32_t _i343;
+            for (_i343 = 0; _i343 < _size339; ++_i343)
             {
-              xfer += this->tombstones[_i333].read(iprot);
+              xfer += this->tombstones[_i343].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6209,14 +6317,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size334;
-            ::apache::thrift::protocol::TType _etype337;
-            xfer += iprot->readListBegin(_etype337, _size334);
-            this->routes.resize(_size334);
-            uint32_t _i338;
-            for (_i338 = 0; _i338 < _size334; ++_i338)
+            uint32_t _size344;
+            ::apache::thrift::protocol::TType _etype347;
+            xfer += iprot->readListBegin(_etype347, _size344);
+            this->routes.resize(_size344);
+            uint32_t _i348;
+            for (_i348 = 0; _i348 < _size344; ++_i348)
             {
-              xfer += this->routes[_i338].read(iprot);
+              xfer += this->routes[_i348].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6304,10 +6412,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<service_entry> ::const_iterator _iter339;
-    for (_iter339 = this->services.begin(); _iter339 != this->services.end(); ++_iter339)
+    std::vector<service_entry> ::const_iterator _iter349;
+    for (_iter349 = this->services.begin(); _iter349 != this->services.end(); ++_iter349)
     {
-      xfer += (*_iter339).write(oprot);
+      xfer += (*_iter349).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6316,10 +6424,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<target> ::const_iterator _iter340;
-    for (_iter340 = this->targets.begin(); _iter340 != this->targets.end(); ++_iter340)
+    std::vector<target> ::const_iterator _iter350;
+    for (_iter350 = this->targets.begin(); _iter350 != this->targets.end(); ++_iter350)
     {
-      xfer += (*_iter340).write(oprot);
+      xfer += (*_iter350).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6328,10 +6436,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<node> ::const_iterator _iter341;
-    for (_iter341 = this->nodes.begin(); _iter341 != this->nodes.end(); ++_iter341)
+    std::vector<node> ::const_iterator _iter351;
+    for (_iter351 = this->nodes.begin(); _iter351 != this->nodes.end(); ++_iter351)
     {
-      xfer += (*_iter341).write(oprot);
+      xfer += (*_iter351).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6340,10 +6448,10 @@
   xfer += oprot->writeFieldBegin("tombstones", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tombstones.size()));
-    std::vector<tombstone> ::const_iterator _iter342;
-    for (_iter342 = this->tombstones.begin(); _iter342 != this->tombstones.end(); ++_iter342)
+    std::vector<tombstone> ::const_iterator _iter352;
+    for (_iter352 = this->tombstones.begin(); _iter352 != this->tombstones.end(); ++_iter352)
     {
-      xfer += (*_iter342).write(oprot);
+      xfer += (*_iter352).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6353,10 +6461,10 @@
     xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-      std::vector<route_entry> ::const_iterator _iter343;
-      for (_iter343 = this->routes.begin(); _iter343 != this->routes.end(); ++_iter343)
+      std::vector<route_entry> ::const_iterator _iter353;
+      for (_iter353 = this->routes.begin(); _iter353 != this->routes.end(); ++_iter353)
       {
-        xfer += (*_iter343).write(oprot);
+        xfer += (*_iter353).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6433,14 +6541,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parents.clear();
-            uint32_t _size348;
-            ::apache::thrift::protocol::TType _etype351;
-            xfer += iprot->readListBegin(_etype351, _size348);
-            this->parents.resize(_size348);
-            uint32_t _i352;
-            for (_i352 = 0; _i352 < _size348; ++_i352)
+            uint32_t _size358;
+            ::apache::thrift::protocol::TType _etype361;
+            xfer += iprot->readListBegin(_etype361, _size358);
+            this->parents.resize(_size358);
+            uint32_t _i362;
+            for (_i362 = 0; _i362 < _size358; ++_i362)
             {
-              xfer += this->parents[_i352].read(iprot);
+              xfer += this->parents[_i362].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6518,10 +6626,10 @@
     xfer += oprot->writeFieldBegin("parents", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parents.size()));
-      std::vector<endpoint> ::const_iterator _iter353;
-      for (_iter353 = this->parents.begin(); _iter353 != this->parents.end(); ++_iter353)
+      std::vector<endpoint> ::const_iterator _iter363;
+      for (_iter363 = this->parents.begin(); _iter363 != this->parents.end(); ++_iter363)
       {
-        xfer += (*_iter353).write(oprot);
+        xfer += (*_iter363).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7086,14 +7194,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->children.clear();
-            uint32_t _size374;
-            ::apache::thrift::protocol::TType _etype377;
-            xfer += iprot->readListBegin(_etype377, _size374);
-            this->children.resize(_size374);
-            uint32_t _i378;
-            for (_i378 = 0; _i378 < _size374; ++_i378)
+            uint32_t _size384;
+            ::apache::thrift::protocol::TType _etype387;
+            xfer += iprot->readListBegin(_etype387, _size384);
+            this->children.resize(_size384);
+            uint32_t _i388;
+            for (_i388 = 0; _i388 < _size384; ++_i388)
             {
-              xfer += this->children[_i378].read(iprot);
+              xfer += this->children[_i388].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7169,10 +7277,10 @@
   xfer += oprot->writeFieldBegin("children", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->children.size()));
-    std::vector<child_report> ::const_iterator _iter379;
-    for (_iter379 = this->children.begin(); _iter379 != this->children.end(); ++_iter379)
+    std::vector<child_report> ::const_iterator _iter389;
+    for (_iter389 = this->children.begin(); _iter389 != this->children.end(); ++_iter389)
     {
-      xfer += (*_iter379).write(oprot);
+      xfer += (*_iter389).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7971,14 +8079,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size412;
-            ::apache::thrift::protocol::TType _etype415;
-            xfer += iprot->readListBegin(_etype415, _size412);
-            this->missing.resize(_size412);
-            uint32_t _i416;
-            for (_i416 = 0; _i416 < _size412; ++_i416)
+            uint32_t _size422;
+            ::apache::thrift::protocol::TType _etype425;
+            xfer += iprot->readListBegin(_etype425, _size422);
+            this->missing.resize(_size422);
+            uint32_t _i426;
+            for (_i426 = 0; _i426 < _size422; ++_i426)
             {
-              xfer += iprot->readI32(this->missing[_i416]);
+              xfer += iprot->readI32(this->missing[_i426]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8022,10 +8130,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->missing.size()));
-    std::vector<int32_t> ::const_iterator _iter417;
-    for (_iter417 = this->missing.begin(); _iter417 != this->missing.end(); ++_iter417)
+    std::vector<int32_t> ::const_iterator _iter427;
+    for (_iter427 = this->missing.begin(); _iter427 != this->missing.end(); ++_iter427)
     {
-      xfer += oprot->writeI32((*_iter417));
+      xfer += oprot->writeI32((*_iter427));
     }
     xfer += oprot->writeListEnd();
   }
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -377,6 +377,11 @@
   6: optional i32 lease_ms      // longest time that a lease which the voter acknowledged before its restart may still be valid
 }
 
+struct silent_member {
+  1: required i64 folder_id
+  2: required i32 silent_ms     // since the start of the last heartbeat round that the member has acknowledged
+}
+
 struct append_request {
   1: required i64 term
   2: required i64 leader        // folder id
@@ -386,6 +391,7 @@
   6: required i64 round         // heartbeat round, for the leader's lease and quorum reads
   7: required list<log_entry> entries
   8: required i32 quorum_age_ms // since the start of the last heartbeat round of the leader that a quorum acknowledged
+  9: optional list<silent_member> silent_members
 }
 
 struct append_reply {
