--- a/src/include/peridotcleat/control.h
+++ b/src/include/peridotcleat/control.h
@@ -193,6 +193,9 @@
     {
         return replica_.remove_member(now, name);
     }
+    /// Prepares a planned stop of the process, as `replica::begin_leave` and `may_stop` do.
+    void begin_leave(time_point now) { replica_.begin_leave(now); }
+    [[nodiscard]] bool may_stop(time_point now) const { return replica_.may_stop(now); }
     /// The relay that serves the processes that pull from this one.
     [[nodiscard]] const relay& children() const noexcept { return relay_; }
 
--- a/src/include/peridotcleat/control_host.h
+++ b/src/include/peridotcleat/control_host.h
@@ -32,12 +32,15 @@
         handlers.on_message = [this](time_point now, const endpoint& from, const message& m, outbox& out) {
             role_.on_message(now, from, m, out);
         };
-        handlers.on_tick = [this](time_point now, outbox& out) { role_.on_tick(now, wall_now(), out); };
+        handlers.on_tick = [this](time_point now, outbox& out) { on_tick(now, out); };
         handlers.on_batch_end = [this](time_point now, outbox& out) { end_batch(now, out); };
         std::thread signals([this] {
             wait_for_stop_signal([] { log_event(log_level::info, "reloaded"); });
             log_event(log_level::info, "stopping");
-            loop_.stop();
+            loop_.post([this](time_point now, outbox&) {
+                leaving_ = true;
+                role_.begin_leave(now);
+            });
         });
         loop_.run(handlers);
         if (exit_code_ != 0) {
@@ -50,6 +53,15 @@
     }
 
 private:
+    // A process that is about to stop goes on until another member has its vote.
+    void on_tick(time_point now, outbox& out)
+    {
+        role_.on_tick(now, wall_now(), out);
+        if (leaving_ && role_.may_stop(now)) {
+            loop_.stop();
+        }
+    }
+
     void end_batch(time_point now, outbox& out)
     {
         const auto syncs_before = role_.log().counts().get(event::syncs);
@@ -101,6 +113,7 @@
     operator_api<Control>& api_;
     counters& counted_;
     table_log table_log_;
+    bool leaving_ = false;
     bool was_leading_ = false;
     std::optional<endpoint> leader_;
     int exit_code_ = 0;
--- a/src/include/peridotcleat/message.h
+++ b/src/include/peridotcleat/message.h
@@ -11,13 +11,15 @@
 namespace peridotcleat {
 
 /// Any message between two processes of the system.
-using message = std::variant<
-    wire::caller_packet, wire::return_packet, wire::forwarded_packet, wire::stale_notice, wire::bucket_query,
-    wire::bucket_report, wire::place_offer, wire::place_reply, wire::flow_closed, wire::load_report,
-    wire::flow_unknown, wire::segment_forward, wire::segment_report, wire::segment_load, wire::segment_query,
-    wire::segment_answers, wire::vote_request, wire::vote_reply, wire::append_request, wire::append_reply,
-    wire::snapshot_chunk, wire::snapshot_reply, wire::join_request, wire::pull_request, wire::pull_reply,
-    wire::change_notice, wire::announce, wire::announce_reply, wire::relay_report, wire::relay_report_reply>;
+using message =
+    std::variant<wire::caller_packet, wire::return_packet, wire::forwarded_packet, wire::stale_notice,
+                 wire::bucket_query, wire::bucket_report, wire::place_offer, wire::place_reply,
+                 wire::flow_closed, wire::load_report, wire::flow_unknown, wire::segment_forward,
+                 wire::segment_report, wire::segment_load, wire::segment_query, wire::segment_answers,
+                 wire::vote_request, wire::vote_reply, wire::append_request, wire::append_reply,
+                 wire::snapshot_chunk, wire::snapshot_reply, wire::join_request, wire::leave_notice,
+                 wire::pull_request, wire::pull_reply, wire::change_notice, wire::announce,
+                 wire::announce_reply, wire::relay_report, wire::relay_report_reply>;
 
 /// Any payload that a caller and an agent exchange inside the packets of a flow.
 using caller_message =
--- a/src/include/peridotcleat/replica.h
+++ b/src/include/peridotcleat/replica.h
@@ -164,6 +164,13 @@
         return core_.remove_member(now, name);
     }
 
+    /// Call before the process stops as planned. If a standby member can take the vote of this replica, it
+    /// does so while `on_message`, `on_tick` and `flush` are called as before.
+    void begin_leave(time_point now) { core_.begin_leave(now); }
+    /// Returns true once the process may stop: no other member is to take its vote, or none has done so
+    /// within `leave_limit`.
+    [[nodiscard]] bool may_stop(time_point now) const { return core_.may_stop(now); }
+
 private:
     replica(pvt::replica_core core, Storage storage) : core_(std::move(core)), storage_(std::move(storage)) {}
 
--- a/src/include/peridotcleat/replica_core.h
+++ b/src/include/peridotcleat/replica_core.h
@@ -71,6 +71,8 @@
     /// member votes until it is removed.
     std::size_t voter_count = 0;
     replica_timing timing;
+    /// Longest time for which a process that is about to stop waits until another member has its vote.
+    std::chrono::milliseconds leave_limit{1000};
     std::uint64_t seed = 0;
     /// Counters of the process, which must outlive the replica. Null: the replica has counters of its own.
     counters* counted = nullptr;
@@ -131,6 +133,9 @@
     [[nodiscard]] result<bool> read_ready(const read_ticket& ticket) const;
     result<log_position> remove_member(time_point now, const std::string& name);
 
+    void begin_leave(time_point now) { leaving_since_ = now; }
+    [[nodiscard]] bool may_stop(time_point now) const;
+
     [[nodiscard]] bool lease_valid(time_point now) const;
     [[nodiscard]] bool is_leader() const noexcept { return role_ == role::leader && !stopped(); }
     [[nodiscard]] std::int64_t term() const noexcept { return hard_state_.term; }
@@ -168,6 +173,8 @@
         // Start of the latest round that the member has acknowledged. A reply that was delayed shows that the
         // member was alive when it sent the reply, not that it still is.
         time_point heard_at;
+        // Until this time, the member counts as one that is about to stop.
+        time_point leaving_until;
         // Snapshot transfer: index of the snapshot (0: none), acknowledged and sent bytes.
         std::int64_t snapshot_index = 0;
         std::int64_t acked_offset = 0;
@@ -281,9 +288,13 @@
                             const std::string& subject);
 
     // replica_voters.cpp
+    void handle(time_point now, const endpoint& from, const wire::leave_notice& m, outbox& out);
+    void send_leave_notice(time_point now, outbox& out);
+    [[nodiscard]] bool is_leaving(const wire::member& m, time_point now) const;
+    [[nodiscard]] std::vector<const wire::member*> find_replaceable_voters(time_point now) const;
     void maintain_members(time_point now);
     [[nodiscard]] std::optional<member_change> find_voter_change(time_point now) const;
-    static void replace_voters(member_change& change, const std::vector<const wire::member*>& silent,
+    static void replace_voters(member_change& change, const std::vector<const wire::member*>& replaced,
                                const std::vector<const wire::member*>& ready);
     [[nodiscard]] bool is_valid(const member_change& change, time_point now) const;
     [[nodiscard]] bool is_confirmed(const member_change& change) const;
@@ -331,6 +342,8 @@
     // just before this process restarted.
     time_point former_lease_end_;
     time_point join_due_;
+    std::optional<time_point> leaving_since_;
+    time_point leave_notice_due_;
     time_point opened_at_;
 
     // State of a candidate.
--- a/src/libperidotcleat/process/message.cpp
+++ b/src/libperidotcleat/process/message.cpp
@@ -25,8 +25,8 @@
 // and is never reused for another struct; if an alternative moves, its number moves with it. 15 was a query
 // for one flow.
 constexpr std::array<std::int16_t, std::variant_size_v<message>> message_kinds{
-    1,  2,  3,  4,  5,  6,  7,  8,  9,  10, 11, 12, 13, 14, 16,
-    17, 40, 41, 42, 43, 44, 45, 46, 50, 51, 52, 53, 54, 55, 56};
+    1,  2,  3,  4,  5,  6,  7,  8,  9,  10, 11, 12, 13, 14, 16, 17,
+    40, 41, 42, 43, 44, 45, 46, 47, 50, 51, 52, 53, 54, 55, 56};
 
 constexpr std::array<std::int16_t, std::variant_size_v<caller_message>> caller_message_kinds{
     20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34};
--- a/src/libperidotcleat/version/replica_append.cpp
+++ b/src/libperidotcleat/version/replica_append.cpp
@@ -227,7 +227,7 @@
         return;
     }
     commit_index_ = quorum_match;
-    if (log_.members_index() <= commit_index_ && find_member(self()) == nullptr) {
+    if (log_.members_index() <= commit_index_ && !is_voter(self())) {
         become_follower(hard_state_.term, now);
     }
 }
--- a/src/libperidotcleat/version/replica_core.cpp
+++ b/src/libperidotcleat/version/replica_core.cpp
@@ -96,6 +96,7 @@
         start_pre_vote(now, out);
     }
     send_join_request(now, out);
+    send_leave_notice(now, out);
 }
 
 std::vector<staged_write> replica_core::take_writes() { return std::exchange(staged_writes_, {}); }
--- a/src/libperidotcleat/version/replica_loss_test.cpp
+++ b/src/libperidotcleat/version/replica_loss_test.cpp
@@ -54,18 +54,23 @@
 
 loss_tolerance tolerance_for(std::uint64_t seed) { return all_tolerances.at(seed % all_tolerances.size()); }
 
+void run_seed(std::uint64_t seed, const std::vector<loss>& kinds)
+{
+    loss_run run(seed, kinds, tolerance_for(seed), fast_timing());
+    try {
+        run.run();
+    } catch (const std::exception& e) {
+        ADD_FAILURE() << "seed " << seed << ": " << e.what() << "\nfaults:" << run.fault_log()
+                      << "\nmembers:" << run.group().describe();
+    }
+}
+
 void run_seeds(const std::vector<loss>& kinds)
 {
     const auto first = environment_number("PERIDOTCLEAT_FIRST_SEED", 1);
     const auto seeds = environment_number("PERIDOTCLEAT_SEEDS", default_seeds);
     for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
-        loss_run run(seed, kinds, tolerance_for(seed), fast_timing());
-        try {
-            run.run();
-        } catch (const std::exception& e) {
-            ADD_FAILURE() << "seed " << seed << ": " << e.what() << "\nfaults:" << run.fault_log()
-                          << "\nmembers:" << run.group().describe();
-        }
+        run_seed(seed, kinds);
     }
 }
 
@@ -85,9 +90,10 @@
 // seconds each.
 TEST(replica_loss, a_group_accepts_changes_after_disks_were_full_in_turn) { run_seeds({loss::full_disk}); }
 
-const std::vector<loss> all_kinds{loss::disk,        loss::power,       loss::kill,       loss::freeze,
-                                  loss::cut,         loss::full_disk,   loss::slow_sync,  loss::split,
-                                  loss::replacement, loss::replacement, loss::replacement};
+const std::vector<loss> all_kinds{loss::disk,        loss::power,       loss::kill,
+                                  loss::freeze,      loss::cut,         loss::full_disk,
+                                  loss::slow_sync,   loss::split,       loss::replacement,
+                                  loss::replacement, loss::replacement, loss::planned_replacement};
 
 // Guards against a group that stands still for good, or in which members that are lost permanently keep their
 // votes, after losses of all kinds.
@@ -97,6 +103,23 @@
 // against the loss of a member that has just taken the vote of another one.
 TEST(replica_loss, a_group_accepts_changes_after_members_were_replaced) { run_seeds({loss::replacement}); }
 
+// Guards against voters that are stopped as planned, several at once or one after the other, and take their
+// votes with them although standby members run.
+TEST(replica_loss, a_group_accepts_changes_after_planned_replacements)
+{
+    run_seeds({loss::planned_replacement});
+}
+
+// Guards against a member that is stopped as planned during a split: seed 3684 gave its vote to the only
+// standby member in reach, although a voter that was lost for good needed that one; in seed 3894 it stopped
+// before the split had ended, so that one voter of three was left.
+TEST(replica_loss, a_member_that_is_stopped_during_a_split_waits_for_its_end)
+{
+    for (const std::uint64_t seed : {3684U, 3894U}) {
+        run_seed(seed, all_kinds);
+    }
+}
+
 class permanent_loss : public ::testing::Test {
 protected:
     explicit permanent_loss(const replica_group::composition& parts = {9, 3, 5})
@@ -177,6 +200,32 @@
     })) << group_.describe();
 }
 
+// Guards against the same failure if the leader is among the voters that are stopped at once.
+TEST_F(permanent_loss, voters_that_are_stopped_as_planned_hand_their_votes_over)
+{
+    std::vector<replica_group::host*> stopped{leader(), &follower()};
+    for (auto& h : group_.hosts) {
+        if (stopped.size() < 3 && h.process && has_vote(h) && std::ranges::count(stopped, &h) == 0) {
+            stopped.push_back(&h);
+        }
+    }
+    for (auto* h : stopped) {
+        h->process->begin_leave(group_.net.now());
+    }
+    for (int i = 0; i < 100 && !stopped.empty(); ++i) {
+        group_.net.run_for(50ms);
+        std::erase_if(stopped, [&](auto* h) {
+            const bool stops = h->process->may_stop(group_.net.now());
+            if (stops) {
+                group_.remove_permanently(*h);
+            }
+            return stops;
+        });
+    }
+    EXPECT_TRUE(stopped.empty());
+    expect_votes_of_running_members_only();
+}
+
 class permanent_loss_of_three : public permanent_loss {
 protected:
     permanent_loss_of_three() : permanent_loss({3, 3, 3}) {}
@@ -186,7 +235,8 @@
 // then had two lost voters of four.
 TEST_F(permanent_loss_of_three, a_member_that_has_just_got_a_vote_may_be_lost)
 {
-    // Longer than a step, so that the list with the successor is not committed yet when the successor is lost.
+    // Longer than a step, so that the list with the successor is not committed yet when the successor is
+    // lost.
     group_.net.set_default_quality({20ms, 0ms, 0, 0});
     replace(follower());
     auto& successor = group_.hosts.back();
--- a/src/libperidotcleat/version/replica_voters.cpp
+++ b/src/libperidotcleat/version/replica_voters.cpp
@@ -13,6 +13,10 @@
 constexpr int max_unanswered_heartbeats = 3;
 // Number of entries by which a learner may lag when it is promoted to voter.
 constexpr std::int64_t max_learner_lag = 64;
+// A process that is about to stop repeats its notice, because the notice or the leader may be lost.
+constexpr std::chrono::milliseconds leave_notice_interval{100};
+// Several notices may be lost.
+constexpr std::chrono::milliseconds leave_notice_max_age{500};
 // Several round trips between zones and a slow sync. Confirmations that are older no longer count.
 constexpr std::chrono::milliseconds confirmation_max_age{500};
 
@@ -63,7 +67,51 @@
     }
 }
 
-// Returns the replacement of silent voters by learners, the promotion of a learner, or the removal of the
+void replica_core::send_leave_notice(time_point now, outbox& out)
+{
+    if (!leaving_since_ || !leader_address_ || now < leave_notice_due_) {
+        return;
+    }
+    leave_notice_due_ = now + leave_notice_interval;
+    wire::leave_notice notice;
+    notice.folder_id = self();
+    send(*leader_address_, notice, out);
+}
+
+void replica_core::handle(time_point now, const endpoint& /*from*/, const wire::leave_notice& m,
+                          outbox& /*out*/)
+{
+    if (const auto p = progress_.find(m.folder_id); p != progress_.end()) {
+        p->second.leaving_until = now + leave_notice_max_age;
+    }
+}
+
+// The list without this replica's vote must be committed. Otherwise the others may have to elect a leader by
+// the list before it.
+bool replica_core::may_stop(time_point now) const
+{
+    const auto is_own_vote = [&](const wire::member& m) { return m.folder_id == self() && has_vote(m); };
+    const bool has_own_vote = std::ranges::any_of(members(), is_own_vote) ||
+                              std::ranges::any_of(log_.members_at(commit_index_).members, is_own_vote);
+    // A joint list needs a majority of the former voters until its final list is committed.
+    const bool can_be_replaced =
+        settings_.voter_count != 0 &&
+        (is_joint(members()) ||
+         std::ranges::any_of(members(), [](const wire::member& m) { return !has_vote(m); }));
+    const bool limit_reached = leaving_since_ && now - *leaving_since_ >= settings_.leave_limit;
+    return stopped() || !has_own_vote || !can_be_replaced || limit_reached;
+}
+
+bool replica_core::is_leaving(const wire::member& m, time_point now) const
+{
+    if (m.folder_id == self()) {
+        return leaving_since_.has_value();
+    }
+    const auto p = progress_.find(m.folder_id);
+    return p != progress_.end() && now < p->second.leaving_until;
+}
+
+// Returns the replacement of voters by learners, the promotion of a learner, or the removal of the
 // vote of a silent voter that is not needed.
 std::optional<replica_core::member_change> replica_core::find_voter_change(time_point now) const
 {
@@ -73,15 +121,15 @@
     member_change change;
     change.list = log_.members();
     if (required != 0) {
-        const auto silent = find_silent_members(now, true, voter_silence_limit());
-        if (voters > required && !silent.empty()) {
-            member_of(change.list, *silent.front()).voter = false;
-            change.reason = "silent";
-            change.subject = silent.front()->name;
+        const auto replaceable = find_replaceable_voters(now);
+        if (voters > required && !replaceable.empty()) {
+            member_of(change.list, *replaceable.front()).voter = false;
+            change.reason = "vote_removed";
+            change.subject = replaceable.front()->name;
             return change;
         }
-        if (!silent.empty() && !ready.empty()) {
-            replace_voters(change, silent, ready);
+        if (!replaceable.empty() && !ready.empty()) {
+            replace_voters(change, replaceable, ready);
             return change;
         }
     }
@@ -94,10 +142,10 @@
     return std::nullopt;
 }
 
-// Turns the list of `change` into a joint list in which learners have the votes of silent voters. With one
+// Turns the list of `change` into a joint list in which learners have the votes of replaced voters. With one
 // change after the other, the list would have one voter more or less in between, and would then tolerate the
 // loss of either a silent voter that was only cut off or its replacement, but not of both.
-void replica_core::replace_voters(member_change& change, const std::vector<const wire::member*>& silent,
+void replica_core::replace_voters(member_change& change, const std::vector<const wire::member*>& replaced,
                                   const std::vector<const wire::member*>& ready)
 {
     for (wire::member& m : change.list.members) {
@@ -105,10 +153,10 @@
             m.__set_former_voter(true);
         }
     }
-    for (std::size_t i = 0; i < std::min(silent.size(), ready.size()); ++i) {
-        member_of(change.list, *silent[i]).voter = false;
+    for (std::size_t i = 0; i < std::min(replaced.size(), ready.size()); ++i) {
+        member_of(change.list, *replaced[i]).voter = false;
         member_of(change.list, *ready[i]).voter = true;
-        change.subject += (i == 0 ? "" : ",") + silent[i]->name;
+        change.subject += (i == 0 ? "" : ",") + replaced[i]->name;
     }
     change.reason = "replaced";
 }
@@ -118,7 +166,7 @@
 {
     return now - change.decided_at < confirmation_max_age && change.list_index == log_.members_index() &&
            std::ranges::none_of(change.list.members, [&](const wire::member& m) {
-               return !m.voter && is_voter(m.folder_id) && has_confirmed(m, change);
+               return !m.voter && is_voter(m.folder_id) && !is_leaving(m, now) && has_confirmed(m, change);
            });
 }
 
@@ -152,7 +200,7 @@
     std::vector<const wire::member*> ready;
     for (const wire::member& m : members()) {
         const auto p = progress_.find(m.folder_id);
-        if (!m.voter && holds_committed_entries(m) &&
+        if (!m.voter && !is_leaving(m, now) && holds_committed_entries(m) &&
             p->second.match_index + max_learner_lag >= log_.last_index() &&
             now - p->second.heard_at < reported_silence()) {
             ready.push_back(&m);
@@ -161,6 +209,18 @@
     return ready;
 }
 
+// Returns the voters that are silent, then those that are about to stop, which can wait for a learner.
+std::vector<const wire::member*> replica_core::find_replaceable_voters(time_point now) const
+{
+    auto replaceable = find_silent_members(now, true, voter_silence_limit());
+    for (const wire::member& m : members()) {
+        if (m.voter && is_leaving(m, now) && std::ranges::count(replaceable, &m) == 0) {
+            replaceable.push_back(&m);
+        }
+    }
+    return replaceable;
+}
+
 // Returns the voters or learners that are silent for at least `limit`, the one that is silent for longest
 // first.
 std::vector<const wire::member*> replica_core::find_silent_members(time_point now, bool voters,
--- a/src/proto/gen/peridotcleat_types.cpp
+++ b/src/proto/gen/peridotcleat_types.cpp
@@ -3877,6 +3877,47 @@
 }
 
 
+leave_notice::~leave_notice() noexcept {
+}
+
+
+void leave_notice::__set_folder_id(const int64_t val) {
+  this->folder_id = val;
+}
+std::ostream& operator<<(std::ostream& out, const leave_notice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(leave_notice &a, leave_notice &b) {
+  using ::std::swap;
+  swap(a.folder_id, b.folder_id);
+}
+
+leave_notice::leave_notice(const leave_notice& other316) noexcept {
+  folder_id = other316.folder_id;
+}
+leave_notice::leave_notice(leave_notice&& other317) noexcept {
+  folder_id = other317.folder_id;
+}
+leave_notice& leave_notice::operator=(const leave_notice& other318) noexcept {
+  folder_id = other318.folder_id;
+  return *this;
+}
+leave_notice& leave_notice::operator=(leave_notice&& other319) noexcept {
+  folder_id = other319.folder_id;
+  return *this;
+}
+void leave_notice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "leave_notice(";
+  out << "folder_id=" << to_string(folder_id);
+  out << ")";
+}
+
+
 cursor::~cursor() noexcept {
 }
 
@@ -3906,26 +3947,26 @@
   swap(a.id, b.id);
 }
 
-cursor::cursor(const cursor& other316) noexcept {
-  revision = other316.revision;
-  kind = other316.kind;
-  id = other316.id;
+cursor::cursor(const cursor& other320) noexcept {
+  revision = other320.revision;
+  kind = other320.kind;
+  id = other320.id;
 }
-cursor::cursor(cursor&& other317) noexcept {
-  revision = other317.revision;
-  kind = other317.kind;
-  id = other317.id;
+cursor::cursor(cursor&& other321) noexcept {
+  revision = other321.revision;
+  kind = other321.kind;
+  id = other321.id;
 }
-cursor& cursor::operator=(const cursor& other318) noexcept {
-  revision = other318.revision;
-  kind = other318.kind;
-  id = other318.id;
+cursor& cursor::operator=(const cursor& other322) noexcept {
+  revision = other322.revision;
+  kind = other322.kind;
+  id = other322.id;
   return *this;
 }
-cursor& cursor::operator=(cursor&& other319) noexcept {
-  revision = other319.revision;
-  kind = other319.kind;
-  id = other319.id;
+cursor& cursor::operator=(cursor&& other323) noexcept {
+  revision = other323.revision;
+  kind = other323.kind;
+  id = other323.id;
   return *this;
 }
 void cursor::printTo(std::ostream& out) const {
@@ -3995,50 +4036,50 @@
   swap(a.__isset, b.__isset);
 }
 
-pull_request::pull_request(const pull_request& other320) noexcept {
-  node = other320.node;
-  nonce = other320.nonce;
-  revision = other320.revision;
-  position = other320.position;
-  full = other320.full;
-  digest = other320.digest;
-  parents = other320.parents;
-  confirm = other320.confirm;
-  __isset = other320.__isset;
-}
-pull_request::pull_request(pull_request&& other321) noexcept {
-  node = other321.node;
-  nonce = other321.nonce;
-  revision = other321.revision;
-  position = std::move(other321.position);
-  full = other321.full;
-  digest = other321.digest;
-  parents = other321.parents;
-  confirm = other321.confirm;
-  __isset = other321.__isset;
-}
-pull_request& pull_request::operator=(const pull_request& other322) noexcept {
-  node = other322.node;
-  nonce = other322.nonce;
-  revision = other322.revision;
-  position = other322.position;
-  full = other322.full;
-  digest = other322.digest;
-  parents = other322.parents;
-  confirm = other322.confirm;
-  __isset = other322.__isset;
-  return *this;
-}
-pull_request& pull_request::operator=(pull_request&& other323) noexcept {
-  node = other323.node;
-  nonce = other323.nonce;
-  revision = other323.revision;
-  position = std::move(other323.position);
-  full = other323.full;
-  digest = other323.digest;
-  parents = other323.parents;
-  confirm = other323.confirm;
-  __isset = other323.__isset;
+pull_request::pull_request(const pull_request& other324) noexcept {
+  node = other324.node;
+  nonce = other324.nonce;
+  revision = other324.revision;
+  position = other324.position;
+  full = other324.full;
+  digest = other324.digest;
+  parents = other324.parents;
+  confirm = other324.confirm;
+  __isset = other324.__isset;
+}
+pull_request::pull_request(pull_request&& other325) noexcept {
+  node = other325.node;
+  nonce = other325.nonce;
+  revision = other325.revision;
+  position = std::move(other325.position);
+  full = other325.full;
+  digest = other325.digest;
+  parents = other325.parents;
+  confirm = other325.confirm;
+  __isset = other325.__isset;
+}
+pull_request& pull_request::operator=(const pull_request& other326) noexcept {
+  node = other326.node;
+  nonce = other326.nonce;
+  revision = other326.revision;
+  position = other326.position;
+  full = other326.full;
+  digest = other326.digest;
+  parents = other326.parents;
+  confirm = other326.confirm;
+  __isset = other326.__isset;
+  return *this;
+}
+pull_request& pull_request::operator=(pull_request&& other327) noexcept {
+  node = other327.node;
+  nonce = other327.nonce;
+  revision = other327.revision;
+  position = std::move(other327.position);
+  full = other327.full;
+  digest = other327.digest;
+  parents = other327.parents;
+  confirm = other327.confirm;
+  __isset = other327.__isset;
   return *this;
 }
 void pull_request::printTo(std::ostream& out) const {
@@ -4138,70 +4179,70 @@
   swap(a.__isset, b.__isset);
 }
 
-table_page::table_page(const table_page& other354) {
-  revision = other354.revision;
-  config_version = other354.config_version;
-  full = other354.full;
-  start = other354.start;
-  position = other354.position;
-  complete = other354.complete;
-  digest = other354.digest;
-  services = other354.services;
-  targets = other354.targets;
-  nodes = other354.nodes;
-  tombstones = other354.tombstones;
-  routes = other354.routes;
-  document_version = other354.document_version;
-  __isset = other354.__isset;
-}
-table_page::table_page(table_page&& other355) noexcept {
-  revision = other355.revision;
-  config_version = other355.config_version;
-  full = other355.full;
-  start = std::move(other355.start);
-  position = std::move(other355.position);
-  complete = other355.complete;
-  digest = other355.digest;
-  services = std::move(other355.services);
-  targets = std::move(other355.targets);
-  nodes = std::move(other355.nodes);
-  tombstones = std::move(other355.tombstones);
-  routes = std::move(other355.routes);
-  document_version = other355.document_version;
-  __isset = other355.__isset;
-}
-table_page& table_page::operator=(const table_page& other356) {
-  revision = other356.revision;
-  config_version = other356.config_version;
-  full = other356.full;
-  start = other356.start;
-  position = other356.position;
-  complete = other356.complete;
-  digest = other356.digest;
-  services = other356.services;
-  targets = other356.targets;
-  nodes = other356.nodes;
-  tombstones = other356.tombstones;
-  routes = other356.routes;
-  document_version = other356.document_version;
-  __isset = other356.__isset;
-  return *this;
-}
-table_page& table_page::operator=(table_page&& other357) noexcept {
-  revision = other357.revision;
-  config_version = other357.config_version;
-  full = other357.full;
-  start = std::move(other357.start);
-  position = std::move(other357.position);
-  complete = other357.complete;
-  digest = other357.digest;
-  services = std::move(other357.services);
-  targets = std::move(other357.targets);
-  nodes = std::move(other357.nodes);
-  tombstones = std::move(other357.tombstones);
-  routes = std::move(other357.routes);
-  document_version = other357.document_version;
-  __isset = other357.__isset;
+table_page::table_page(const table_page& other358) {
+  revision = other358.revision;
+  config_version = other358.config_version;
+  full = other358.full;
+  start = other358.start;
+  position = other358.position;
+  complete = other358.complete;
+  digest = other358.digest;
+  services = other358.services;
+  targets = other358.targets;
+  nodes = other358.nodes;
+  tombstones = other358.tombstones;
+  routes = other358.routes;
+  document_version = other358.document_version;
+  __isset = other358.__isset;
+}
+table_page::table_page(table_page&& other359) noexcept {
+  revision = other359.revision;
+  config_version = other359.config_version;
+  full = other359.full;
+  start = std::move(other359.start);
+  position = std::move(other359.position);
+  complete = other359.complete;
+  digest = other359.digest;
+  services = std::move(other359.services);
+  targets = std::move(other359.targets);
+  nodes = std::move(other359.nodes);
+  tombstones = std::move(other359.tombstones);
+  routes = std::move(other359.routes);
+  document_version = other359.document_version;
+  __isset = other359.__isset;
+}
+table_page& table_page::operator=(const table_page& other360) {
+  revision = other360.revision;
+  config_version = other360.config_version;
+  full = other360.full;
+  start = other360.start;
+  position = other360.position;
+  complete = other360.complete;
+  digest = other360.digest;
+  services = other360.services;
+  targets = other360.targets;
+  nodes = other360.nodes;
+  tombstones = other360.tombstones;
+  routes = other360.routes;
+  document_version = other360.document_version;
+  __isset = other360.__isset;
+  return *this;
+}
+table_page& table_page::operator=(table_page&& other361) noexcept {
+  revision = other361.revision;
+  config_version = other361.config_version;
+  full = other361.full;
+  start = std::move(other361.start);
+  position = std::move(other361.position);
+  complete = other361.complete;
+  digest = other361.digest;
+  services = std::move(other361.services);
+  targets = std::move(other361.targets);
+  nodes = std::move(other361.nodes);
+  tombstones = std::move(other361.tombstones);
+  routes = std::move(other361.routes);
+  document_version = other361.document_version;
+  __isset = other361.__isset;
   return *this;
 }
 void table_page::printTo(std::ostream& out) const {
@@ -4284,50 +4325,50 @@
   swap(a.__isset, b.__isset);
 }
 
-pull_reply::pull_reply(const pull_reply& other364) {
-  nonce = other364.nonce;
-  age_ms = other364.age_ms;
-  page = other364.page;
-  crowded = other364.crowded;
-  parents = other364.parents;
-  confirm = other364.confirm;
-  confirmed = other364.confirmed;
-  leader = other364.leader;
-  __isset = other364.__isset;
-}
-pull_reply::pull_reply(pull_reply&& other365) noexcept {
-  nonce = other365.nonce;
-  age_ms = other365.age_ms;
-  page = std::move(other365.page);
-  crowded = other365.crowded;
-  parents = std::move(other365.parents);
-  confirm = other365.confirm;
-  confirmed = other365.confirmed;
-  leader = std::move(other365.leader);
-  __isset = other365.__isset;
-}
-pull_reply& pull_reply::operator=(const pull_reply& other366) {
-  nonce = other366.nonce;
-  age_ms = other366.age_ms;
-  page = other366.page;
-  crowded = other366.crowded;
-  parents = other366.parents;
-  confirm = other366.confirm;
-  confirmed = other366.confirmed;
-  leader = other366.leader;
-  __isset = other366.__isset;
-  return *this;
-}
-pull_reply& pull_reply::operator=(pull_reply&& other367) noexcept {
-  nonce = other367.nonce;
-  age_ms = other367.age_ms;
-  page = std::move(other367.page);
-  crowded = other367.crowded;
-  parents = std::move(other367.parents);
-  confirm = other367.confirm;
-  confirmed = other367.confirmed;
-  leader = std::move(other367.leader);
-  __isset = other367.__isset;
+pull_reply::pull_reply(const pull_reply& other368) {
+  nonce = other368.nonce;
+  age_ms = other368.age_ms;
+  page = other368.page;
+  crowded = other368.crowded;
+  parents = other368.parents;
+  confirm = other368.confirm;
+  confirmed = other368.confirmed;
+  leader = other368.leader;
+  __isset = other368.__isset;
+}
+pull_reply::pull_reply(pull_reply&& other369) noexcept {
+  nonce = other369.nonce;
+  age_ms = other369.age_ms;
+  page = std::move(other369.page);
+  crowded = other369.crowded;
+  parents = std::move(other369.parents);
+  confirm = other369.confirm;
+  confirmed = other369.confirmed;
+  leader = std::move(other369.leader);
+  __isset = other369.__isset;
+}
+pull_reply& pull_reply::operator=(const pull_reply& other370) {
+  nonce = other370.nonce;
+  age_ms = other370.age_ms;
+  page = other370.page;
+  crowded = other370.crowded;
+  parents = other370.parents;
+  confirm = other370.confirm;
+  confirmed = other370.confirmed;
+  leader = other370.leader;
+  __isset = other370.__isset;
+  return *this;
+}
+pull_reply& pull_reply::operator=(pull_reply&& other371) noexcept {
+  nonce = other371.nonce;
+  age_ms = other371.age_ms;
+  page = std::move(other371.page);
+  crowded = other371.crowded;
+  parents = std::move(other371.parents);
+  confirm = other371.confirm;
+  confirmed = other371.confirmed;
+  leader = std::move(other371.leader);
+  __isset = other371.__isset;
   return *this;
 }
 void pull_reply::printTo(std::ostream& out) const {
@@ -4364,18 +4405,18 @@
   swap(a.revision, b.revision);
 }
 
-change_notice::change_notice(const change_notice& other368) noexcept {
-  revision = other368.revision;
+change_notice::change_notice(const change_notice& other372) noexcept {
+  revision = other372.revision;
 }
-change_notice::change_notice(change_notice&& other369) noexcept {
-  revision = other369.revision;
+change_notice::change_notice(change_notice&& other373) noexcept {
+  revision = other373.revision;
 }
-change_notice& change_notice::operator=(const change_notice& other370) noexcept {
-  revision = other370.revision;
+change_notice& change_notice::operator=(const change_notice& other374) noexcept {
+  revision = other374.revision;
   return *this;
 }
-change_notice& change_notice::operator=(change_notice&& other371) noexcept {
-  revision = other371.revision;
+change_notice& change_notice::operator=(change_notice&& other375) noexcept {
+  revision = other375.revision;
   return *this;
 }
 void change_notice::printTo(std::ostream& out) const {
@@ -4459,62 +4500,62 @@
   swap(a.__isset, b.__isset);
 }
 
-announce::announce(const announce& other372) {
-  nonce = other372.nonce;
-  role = other372.role;
-  name = other372.name;
-  zone = other372.zone;
-  address = other372.address;
-  reply_to = other372.reply_to;
-  service_name = other372.service_name;
-  slots = other372.slots;
-  connections = other372.connections;
-  state = other372.state;
-  hops = other372.hops;
-  __isset = other372.__isset;
-}
-announce::announce(announce&& other373) noexcept {
-  nonce = other373.nonce;
-  role = other373.role;
-  name = std::move(other373.name);
-  zone = std::move(other373.zone);
-  address = std::move(other373.address);
-  reply_to = std::move(other373.reply_to);
-  service_name = std::move(other373.service_name);
-  slots = other373.slots;
-  connections = other373.connections;
-  state = other373.state;
-  hops = other373.hops;
-  __isset = other373.__isset;
-}
-announce& announce::operator=(const announce& other374) {
-  nonce = other374.nonce;
-  role = other374.role;
-  name = other374.name;
-  zone = other374.zone;
-  address = other374.address;
-  reply_to = other374.reply_to;
-  service_name = other374.service_name;
-  slots = other374.slots;
-  connections = other374.connections;
-  state = other374.state;
-  hops = other374.hops;
-  __isset = other374.__isset;
-  return *this;
-}
-announce& announce::operator=(announce&& other375) noexcept {
-  nonce = other375.nonce;
-  role = other375.role;
-  name = std::move(other375.name);
-  zone = std::move(other375.zone);
-  address = std::move(other375.address);
-  reply_to = std::move(other375.reply_to);
-  service_name = std::move(other375.service_name);
-  slots = other375.slots;
-  connections = other375.connections;
-  state = other375.state;
-  hops = other375.hops;
-  __isset = other375.__isset;
+announce::announce(const announce& other376) {
+  nonce = other376.nonce;
+  role = other376.role;
+  name = other376.name;
+  zone = other376.zone;
+  address = other376.address;
+  reply_to = other376.reply_to;
+  service_name = other376.service_name;
+  slots = other376.slots;
+  connections = other376.connections;
+  state = other376.state;
+  hops = other376.hops;
+  __isset = other376.__isset;
+}
+announce::announce(announce&& other377) noexcept {
+  nonce = other377.nonce;
+  role = other377.role;
+  name = std::move(other377.name);
+  zone = std::move(other377.zone);
+  address = std::move(other377.address);
+  reply_to = std::move(other377.reply_to);
+  service_name = std::move(other377.service_name);
+  slots = other377.slots;
+  connections = other377.connections;
+  state = other377.state;
+  hops = other377.hops;
+  __isset = other377.__isset;
+}
+announce& announce::operator=(const announce& other378) {
+  nonce = other378.nonce;
+  role = other378.role;
+  name = other378.name;
+  zone = other378.zone;
+  address = other378.address;
+  reply_to = other378.reply_to;
+  service_name = other378.service_name;
+  slots = other378.slots;
+  connections = other378.connections;
+  state = other378.state;
+  hops = other378.hops;
+  __isset = other378.__isset;
+  return *this;
+}
+announce& announce::operator=(announce&& other379) noexcept {
+  nonce = other379.nonce;
+  role = other379.role;
+  name = std::move(other379.name);
+  zone = std::move(other379.zone);
+  address = std::move(other379.address);
+  reply_to = std::move(other379.reply_to);
+  service_name = std::move(other379.service_name);
+  slots = other379.slots;
+  connections = other379.connections;
+  state = other379.state;
+  hops = other379.hops;
+  __isset = other379.__isset;
   return *this;
 }
 void announce::printTo(std::ostream& out) const {
@@ -4574,34 +4615,34 @@
   swap(a.retry_after_ms, b.retry_after_ms);
 }
 
-announce_reply::announce_reply(const announce_reply& other376) noexcept {
-  nonce = other376.nonce;
-  incarnation = other376.incarnation;
-  code = other376.code;
-  revision = other376.revision;
-  retry_after_ms = other376.retry_after_ms;
+announce_reply::announce_reply(const announce_reply& other380) noexcept {
+  nonce = other380.nonce;
+  incarnation = other380.incarnation;
+  code = other380.code;
+  revision = other380.revision;
+  retry_after_ms = other380.retry_after_ms;
 }
-announce_reply::announce_reply(announce_reply&& other377) noexcept {
-  nonce = other377.nonce;
-  incarnation = other377.incarnation;
-  code = other377.code;
-  revision = other377.revision;
-  retry_after_ms = other377.retry_after_ms;
+announce_reply::announce_reply(announce_reply&& other381) noexcept {
+  nonce = other381.nonce;
+  incarnation = other381.incarnation;
+  code = other381.code;
+  revision = other381.revision;
+  retry_after_ms = other381.retry_after_ms;
 }
-announce_reply& announce_reply::operator=(const announce_reply& other378) noexcept {
-  nonce = other378.nonce;
-  incarnation = other378.incarnation;
-  code = other378.code;
-  revision = other378.revision;
-  retry_after_ms = other378.retry_after_ms;
+announce_reply& announce_reply::operator=(const announce_reply& other382) noexcept {
+  nonce = other382.nonce;
+  incarnation = other382.incarnation;
+  code = other382.code;
+  revision = other382.revision;
+  retry_after_ms = other382.retry_after_ms;
   return *this;
 }
-announce_reply& announce_reply::operator=(announce_reply&& other379) noexcept {
-  nonce = other379.nonce;
-  incarnation = other379.incarnation;
-  code = other379.code;
-  revision = other379.revision;
-  retry_after_ms = other379.retry_after_ms;
+announce_reply& announce_reply::operator=(announce_reply&& other383) noexcept {
+  nonce = other383.nonce;
+  incarnation = other383.incarnation;
+  code = other383.code;
+  revision = other383.revision;
+  retry_after_ms = other383.retry_after_ms;
   return *this;
 }
 void announce_reply::printTo(std::ostream& out) const {
@@ -4645,26 +4686,26 @@
   swap(a.silent_ms, b.silent_ms);
 }
 
-child_report::child_report(const child_report& other380) noexcept {
-  node = other380.node;
-  revision = other380.revision;
-  silent_ms = other380.silent_ms;
+child_report::child_report(const child_report& other384) noexcept {
+  node = other384.node;
+  revision = other384.revision;
+  silent_ms = other384.silent_ms;
 }
-child_report::child_report(child_report&& other381) noexcept {
-  node = other381.node;
-  revision = other381.revision;
-  silent_ms = other381.silent_ms;
+child_report::child_report(child_report&& other385) noexcept {
+  node = other385.node;
+  revision = other385.revision;
+  silent_ms = other385.silent_ms;
 }
-child_report& child_report::operator=(const child_report& other382) noexcept {
-  node = other382.node;
-  revision = other382.revision;
-  silent_ms = other382.silent_ms;
+child_report& child_report::operator=(const child_report& other386) noexcept {
+  node = other386.node;
+  revision = other386.revision;
+  silent_ms = other386.silent_ms;
   return *this;
 }
-child_report& child_report::operator=(child_report&& other383) noexcept {
-  node = other383.node;
-  revision = other383.revision;
-  silent_ms = other383.silent_ms;
+child_report& child_report::operator=(child_report&& other387) noexcept {
+  node = other387.node;
+  revision = other387.revision;
+  silent_ms = other387.silent_ms;
   return *this;
 }
 void child_report::printTo(std::ostream& out) const {
@@ -4726,42 +4767,42 @@
   swap(a.live_children, b.live_children);
 }
 
-relay_report::relay_report(const relay_report& other390) {
-  relay = other390.relay;
-  nonce = other390.nonce;
-  sequence = other390.sequence;
-  full = other390.full;
-  children = other390.children;
-  lowest_revision = other390.lowest_revision;
-  live_children = other390.live_children;
-}
-relay_report::relay_report(relay_report&& other391) noexcept {
-  relay = other391.relay;
-  nonce = other391.nonce;
-  sequence = other391.sequence;
-  full = other391.full;
-  children = std::move(other391.children);
-  lowest_revision = other391.lowest_revision;
-  live_children = other391.live_children;
-}
-relay_report& relay_report::operator=(const relay_report& other392) {
-  relay = other392.relay;
-  nonce = other392.nonce;
-  sequence = other392.sequence;
-  full = other392.full;
-  children = other392.children;
-  lowest_revision = other392.lowest_revision;
-  live_children = other392.live_children;
-  return *this;
-}
-relay_report& relay_report::operator=(relay_report&& other393) noexcept {
-  relay = other393.relay;
-  nonce = other393.nonce;
-  sequence = other393.sequence;
-  full = other393.full;
-  children = std::move(other393.children);
-  lowest_revision = other393.lowest_revision;
-  live_children = other393.live_children;
+relay_report::relay_report(const relay_report& other394) {
+  relay = other394.relay;
+  nonce = other394.nonce;
+  sequence = other394.sequence;
+  full = other394.full;
+  children = other394.children;
+  lowest_revision = other394.lowest_revision;
+  live_children = other394.live_children;
+}
+relay_report::relay_report(relay_report&& other395) noexcept {
+  relay = other395.relay;
+  nonce = other395.nonce;
+  sequence = other395.sequence;
+  full = other395.full;
+  children = std::move(other395.children);
+  lowest_revision = other395.lowest_revision;
+  live_children = other395.live_children;
+}
+relay_report& relay_report::operator=(const relay_report& other396) {
+  relay = other396.relay;
+  nonce = other396.nonce;
+  sequence = other396.sequence;
+  full = other396.full;
+  children = other396.children;
+  lowest_revision = other396.lowest_revision;
+  live_children = other396.live_children;
+  return *this;
+}
+relay_report& relay_report::operator=(relay_report&& other397) noexcept {
+  relay = other397.relay;
+  nonce = other397.nonce;
+  sequence = other397.sequence;
+  full = other397.full;
+  children = std::move(other397.children);
+  lowest_revision = other397.lowest_revision;
+  live_children = other397.live_children;
   return *this;
 }
 void relay_report::printTo(std::ostream& out) const {
@@ -4807,26 +4848,26 @@
   swap(a.send_full, b.send_full);
 }
 
-relay_report_reply::relay_report_reply(const relay_report_reply& other394) noexcept {
-  nonce = other394.nonce;
-  sequence = other394.sequence;
-  send_full = other394.send_full;
+relay_report_reply::relay_report_reply(const relay_report_reply& other398) noexcept {
+  nonce = other398.nonce;
+  sequence = other398.sequence;
+  send_full = other398.send_full;
 }
-relay_report_reply::relay_report_reply(relay_report_reply&& other395) noexcept {
-  nonce = other395.nonce;
-  sequence = other395.sequence;
-  send_full = other395.send_full;
+relay_report_reply::relay_report_reply(relay_report_reply&& other399) noexcept {
+  nonce = other399.nonce;
+  sequence = other399.sequence;
+  send_full = other399.send_full;
 }
-relay_report_reply& relay_report_reply::operator=(const relay_report_reply& other396) noexcept {
-  nonce = other396.nonce;
-  sequence = other396.sequence;
-  send_full = other396.send_full;
+relay_report_reply& relay_report_reply::operator=(const relay_report_reply& other400) noexcept {
+  nonce = other400.nonce;
+  sequence = other400.sequence;
+  send_full = other400.send_full;
   return *this;
 }
-relay_report_reply& relay_report_reply::operator=(relay_report_reply&& other397) noexcept {
-  nonce = other397.nonce;
-  sequence = other397.sequence;
-  send_full = other397.send_full;
+relay_report_reply& relay_report_reply::operator=(relay_report_reply&& other401) noexcept {
+  nonce = other401.nonce;
+  sequence = other401.sequence;
+  send_full = other401.send_full;
   return *this;
 }
 void relay_report_reply::printTo(std::ostream& out) const {
@@ -4858,18 +4899,18 @@
   swap(a.nonce, b.nonce);
 }
 
-flow_open::flow_open(const flow_open& other398) noexcept {
-  nonce = other398.nonce;
+flow_open::flow_open(const flow_open& other402) noexcept {
+  nonce = other402.nonce;
 }
-flow_open::flow_open(flow_open&& other399) noexcept {
-  nonce = other399.nonce;
+flow_open::flow_open(flow_open&& other403) noexcept {
+  nonce = other403.nonce;
 }
-flow_open& flow_open::operator=(const flow_open& other400) noexcept {
-  nonce = other400.nonce;
+flow_open& flow_open::operator=(const flow_open& other404) noexcept {
+  nonce = other404.nonce;
   return *this;
 }
-flow_open& flow_open::operator=(flow_open&& other401) noexcept {
-  nonce = other401.nonce;
+flow_open& flow_open::operator=(flow_open&& other405) noexcept {
+  nonce = other405.nonce;
   return *this;
 }
 void flow_open::printTo(std::ostream& out) const {
@@ -4909,26 +4950,26 @@
   swap(a.token, b.token);
 }
 
-flow_open_ack::flow_open_ack(const flow_open_ack& other402) noexcept {
-  nonce = other402.nonce;
-  incarnation = other402.incarnation;
-  token = other402.token;
+flow_open_ack::flow_open_ack(const flow_open_ack& other406) noexcept {
+  nonce = other406.nonce;
+  incarnation = other406.incarnation;
+  token = other406.token;
 }
-flow_open_ack::flow_open_ack(flow_open_ack&& other403) noexcept {
-  nonce = other403.nonce;
-  incarnation = other403.incarnation;
-  token = other403.token;
+flow_open_ack::flow_open_ack(flow_open_ack&& other407) noexcept {
+  nonce = other407.nonce;
+  incarnation = other407.incarnation;
+  token = other407.token;
 }
-flow_open_ack& flow_open_ack::operator=(const flow_open_ack& other404) noexcept {
-  nonce = other404.nonce;
-  incarnation = other404.incarnation;
-  token = other404.token;
+flow_open_ack& flow_open_ack::operator=(const flow_open_ack& other408) noexcept {
+  nonce = other408.nonce;
+  incarnation = other408.incarnation;
+  token = other408.token;
   return *this;
 }
-flow_open_ack& flow_open_ack::operator=(flow_open_ack&& other405) noexcept {
-  nonce = other405.nonce;
-  incarnation = other405.incarnation;
-  token = other405.token;
+flow_open_ack& flow_open_ack::operator=(flow_open_ack&& other409) noexcept {
+  nonce = other409.nonce;
+  incarnation = other409.incarnation;
+  token = other409.token;
   return *this;
 }
 void flow_open_ack::printTo(std::ostream& out) const {
@@ -4965,22 +5006,22 @@
   swap(a.reason, b.reason);
 }
 
-flow_refused::flow_refused(const flow_refused& other406) noexcept {
-  nonce = other406.nonce;
-  reason = other406.reason;
+flow_refused::flow_refused(const flow_refused& other410) noexcept {
+  nonce = other410.nonce;
+  reason = other410.reason;
 }
-flow_refused::flow_refused(flow_refused&& other407) noexcept {
-  nonce = other407.nonce;
-  reason = other407.reason;
+flow_refused::flow_refused(flow_refused&& other411) noexcept {
+  nonce = other411.nonce;
+  reason = other411.reason;
 }
-flow_refused& flow_refused::operator=(const flow_refused& other408) noexcept {
-  nonce = other408.nonce;
-  reason = other408.reason;
+flow_refused& flow_refused::operator=(const flow_refused& other412) noexcept {
+  nonce = other412.nonce;
+  reason = other412.reason;
   return *this;
 }
-flow_refused& flow_refused::operator=(flow_refused&& other409) noexcept {
-  nonce = other409.nonce;
-  reason = other409.reason;
+flow_refused& flow_refused::operator=(flow_refused&& other413) noexcept {
+  nonce = other413.nonce;
+  reason = other413.reason;
   return *this;
 }
 void flow_refused::printTo(std::ostream& out) const {
@@ -5046,46 +5087,46 @@
   swap(a.body, b.body);
 }
 
-request::request(const request& other410) {
-  incarnation = other410.incarnation;
-  token = other410.token;
-  sequence = other410.sequence;
-  settled_below = other410.settled_below;
-  idempotent = other410.idempotent;
-  remaining_ms = other410.remaining_ms;
-  method = other410.method;
-  body = other410.body;
-}
-request::request(request&& other411) noexcept {
-  incarnation = other411.incarnation;
-  token = other411.token;
-  sequence = other411.sequence;
-  settled_below = other411.settled_below;
-  idempotent = other411.idempotent;
-  remaining_ms = other411.remaining_ms;
-  method = std::move(other411.method);
-  body = std::move(other411.body);
-}
-request& request::operator=(const request& other412) {
-  incarnation = other412.incarnation;
-  token = other412.token;
-  sequence = other412.sequence;
-  settled_below = other412.settled_below;
-  idempotent = other412.idempotent;
-  remaining_ms = other412.remaining_ms;
-  method = other412.method;
-  body = other412.body;
-  return *this;
-}
-request& request::operator=(request&& other413) noexcept {
-  incarnation = other413.incarnation;
-  token = other413.token;
-  sequence = other413.sequence;
-  settled_below = other413.settled_below;
-  idempotent = other413.idempotent;
-  remaining_ms = other413.remaining_ms;
-  method = std::move(other413.method);
-  body = std::move(other413.body);
+request::request(const request& other414) {
+  incarnation = other414.incarnation;
+  token = other414.token;
+  sequence = other414.sequence;
+  settled_below = other414.settled_below;
+  idempotent = other414.idempotent;
+  remaining_ms = other414.remaining_ms;
+  method = other414.method;
+  body = other414.body;
+}
+request::request(request&& other415) noexcept {
+  incarnation = other415.incarnation;
+  token = other415.token;
+  sequence = other415.sequence;
+  settled_below = other415.settled_below;
+  idempotent = other415.idempotent;
+  remaining_ms = other415.remaining_ms;
+  method = std::move(other415.method);
+  body = std::move(other415.body);
+}
+request& request::operator=(const request& other416) {
+  incarnation = other416.incarnation;
+  token = other416.token;
+  sequence = other416.sequence;
+  settled_below = other416.settled_below;
+  idempotent = other416.idempotent;
+  remaining_ms = other416.remaining_ms;
+  method = other416.method;
+  body = other416.body;
+  return *this;
+}
+request& request::operator=(request&& other417) noexcept {
+  incarnation = other417.incarnation;
+  token = other417.token;
+  sequence = other417.sequence;
+  settled_below = other417.settled_below;
+  idempotent = other417.idempotent;
+  remaining_ms = other417.remaining_ms;
+  method = std::move(other417.method);
+  body = std::move(other417.body);
   return *this;
 }
 void request::printTo(std::ostream& out) const {
@@ -5152,42 +5193,42 @@
   swap(a.bytes, b.bytes);
 }
 
-response_part::response_part(const response_part& other414) {
-  token = other414.token;
-  sequence = other414.sequence;
-  index = other414.index;
-  count = other414.count;
-  total_length = other414.total_length;
-  checksum = other414.checksum;
-  bytes = other414.bytes;
+response_part::response_part(const response_part& other418) {
+  token = other418.token;
+  sequence = other418.sequence;
+  index = other418.index;
+  count = other418.count;
+  total_length = other418.total_length;
+  checksum = other418.checksum;
+  bytes = other418.bytes;
 }
-response_part::response_part(response_part&& other415) noexcept {
-  token = other415.token;
-  sequence = other415.sequence;
-  index = other415.index;
-  count = other415.count;
-  total_length = other415.total_length;
-  checksum = other415.checksum;
-  bytes = std::move(other415.bytes);
+response_part::response_part(response_part&& other419) noexcept {
+  token = other419.token;
+  sequence = other419.sequence;
+  index = other419.index;
+  count = other419.count;
+  total_length = other419.total_length;
+  checksum = other419.checksum;
+  bytes = std::move(other419.bytes);
 }
-response_part& response_part::operator=(const response_part& other416) {
-  token = other416.token;
-  sequence = other416.sequence;
-  index = other416.index;
-  count = other416.count;
-  total_length = other416.total_length;
-  checksum = other416.checksum;
-  bytes = other416.bytes;
+response_part& response_part::operator=(const response_part& other420) {
+  token = other420.token;
+  sequence = other420.sequence;
+  index = other420.index;
+  count = other420.count;
+  total_length = other420.total_length;
+  checksum = other420.checksum;
+  bytes = other420.bytes;
   return *this;
 }
-response_part& response_part::operator=(response_part&& other417) noexcept {
-  token = other417.token;
-  sequence = other417.sequence;
-  index = other417.index;
-  count = other417.count;
-  total_length = other417.total_length;
-  checksum = other417.checksum;
-  bytes = std::move(other417.bytes);
+response_part& response_part::operator=(response_part&& other421) noexcept {
+  token = other421.token;
+  sequence = other421.sequence;
+  index = other421.index;
+  count = other421.count;
+  total_length = other421.total_length;
+  checksum = other421.checksum;
+  bytes = std::move(other421.bytes);
   return *this;
 }
 void response_part::printTo(std::ostream& out) const {
@@ -5238,30 +5279,30 @@
   swap(a.reason, b.reason);
 }
 
-request_result::request_result(const request_result& other418) noexcept {
-  token = other418.token;
-  sequence = other418.sequence;
-  status = other418.status;
-  reason = other418.reason;
+request_result::request_result(const request_result& other422) noexcept {
+  token = other422.token;
+  sequence = other422.sequence;
+  status = other422.status;
+  reason = other422.reason;
 }
-request_result::request_result(request_result&& other419) noexcept {
-  token = other419.token;
-  sequence = other419.sequence;
-  status = other419.status;
-  reason = other419.reason;
+request_result::request_result(request_result&& other423) noexcept {
+  token = other423.token;
+  sequence = other423.sequence;
+  status = other423.status;
+  reason = other423.reason;
 }
-request_result& request_result::operator=(const request_result& other420) noexcept {
-  token = other420.token;
-  sequence = other420.sequence;
-  status = other420.status;
-  reason = other420.reason;
+request_result& request_result::operator=(const request_result& other424) noexcept {
+  token = other424.token;
+  sequence = other424.sequence;
+  status = other424.status;
+  reason = other424.reason;
   return *this;
 }
-request_result& request_result::operator=(request_result&& other421) noexcept {
-  token = other421.token;
-  sequence = other421.sequence;
-  status = other421.status;
-  reason = other421.reason;
+request_result& request_result::operator=(request_result&& other425) noexcept {
+  token = other425.token;
+  sequence = other425.sequence;
+  status = other425.status;
+  reason = other425.reason;
   return *this;
 }
 void request_result::printTo(std::ostream& out) const {
@@ -5304,26 +5345,26 @@
   swap(a.missing, b.missing);
 }
 
-part_request::part_request(const part_request& other428) {
-  token = other428.token;
-  sequence = other428.sequence;
-  missing = other428.missing;
+part_request::part_request(const part_request& other432) {
+  token = other432.token;
+  sequence = other432.sequence;
+  missing = other432.missing;
 }
-part_request::part_request(part_request&& other429) noexcept {
-  token = other429.token;
-  sequence = other429.sequence;
-  missing = std::move(other429.missing);
+part_request::part_request(part_request&& other433) noexcept {
+  token = other433.token;
+  sequence = other433.sequence;
+  missing = std::move(other433.missing);
 }
-part_request& part_request::operator=(const part_request& other430) {
-  token = other430.token;
-  sequence = other430.sequence;
-  missing = other430.missing;
+part_request& part_request::operator=(const part_request& other434) {
+  token = other434.token;
+  sequence = other434.sequence;
+  missing = other434.missing;
   return *this;
 }
-part_request& part_request::operator=(part_request&& other431) noexcept {
-  token = other431.token;
-  sequence = other431.sequence;
-  missing = std::move(other431.missing);
+part_request& part_request::operator=(part_request&& other435) noexcept {
+  token = other435.token;
+  sequence = other435.sequence;
+  missing = std::move(other435.missing);
   return *this;
 }
 void part_request::printTo(std::ostream& out) const {
@@ -5365,26 +5406,26 @@
   swap(a.sequence, b.sequence);
 }
 
-request_cancel::request_cancel(const request_cancel& other432) noexcept {
-  incarnation = other432.incarnation;
-  token = other432.token;
-  sequence = other432.sequence;
+request_cancel::request_cancel(const request_cancel& other436) noexcept {
+  incarnation = other436.incarnation;
+  token = other436.token;
+  sequence = other436.sequence;
 }
-request_cancel::request_cancel(request_cancel&& other433) noexcept {
-  incarnation = other433.incarnation;
-  token = other433.token;
-  sequence = other433.sequence;
+request_cancel::request_cancel(request_cancel&& other437) noexcept {
+  incarnation = other437.incarnation;
+  token = other437.token;
+  sequence = other437.sequence;
 }
-request_cancel& request_cancel::operator=(const request_cancel& other434) noexcept {
-  incarnation = other434.incarnation;
-  token = other434.token;
-  sequence = other434.sequence;
+request_cancel& request_cancel::operator=(const request_cancel& other438) noexcept {
+  incarnation = other438.incarnation;
+  token = other438.token;
+  sequence = other438.sequence;
   return *this;
 }
-request_cancel& request_cancel::operator=(request_cancel&& other435) noexcept {
-  incarnation = other435.incarnation;
-  token = other435.token;
-  sequence = other435.sequence;
+request_cancel& request_cancel::operator=(request_cancel&& other439) noexcept {
+  incarnation = other439.incarnation;
+  token = other439.token;
+  sequence = other439.sequence;
   return *this;
 }
 void request_cancel::printTo(std::ostream& out) const {
@@ -5421,22 +5462,22 @@
   swap(a.token, b.token);
 }
 
-flow_close::flow_close(const flow_close& other436) noexcept {
-  incarnation = other436.incarnation;
-  token = other436.token;
+flow_close::flow_close(const flow_close& other440) noexcept {
+  incarnation = other440.incarnation;
+  token = other440.token;
 }
-flow_close::flow_close(flow_close&& other437) noexcept {
-  incarnation = other437.incarnation;
-  token = other437.token;
+flow_close::flow_close(flow_close&& other441) noexcept {
+  incarnation = other441.incarnation;
+  token = other441.token;
 }
-flow_close& flow_close::operator=(const flow_close& other438) noexcept {
-  incarnation = other438.incarnation;
-  token = other438.token;
+flow_close& flow_close::operator=(const flow_close& other442) noexcept {
+  incarnation = other442.incarnation;
+  token = other442.token;
   return *this;
 }
-flow_close& flow_close::operator=(flow_close&& other439) noexcept {
-  incarnation = other439.incarnation;
-  token = other439.token;
+flow_close& flow_close::operator=(flow_close&& other443) noexcept {
+  incarnation = other443.incarnation;
+  token = other443.token;
   return *this;
 }
 void flow_close::printTo(std::ostream& out) const {
@@ -5467,18 +5508,18 @@
   swap(a.token, b.token);
 }
 
-flow_close_ack::flow_close_ack(const flow_close_ack& other440) noexcept {
-  token = other440.token;
+flow_close_ack::flow_close_ack(const flow_close_ack& other444) noexcept {
+  token = other444.token;
 }
-flow_close_ack::flow_close_ack(flow_close_ack&& other441) noexcept {
-  token = other441.token;
+flow_close_ack::flow_close_ack(flow_close_ack&& other445) noexcept {
+  token = other445.token;
 }
-flow_close_ack& flow_close_ack::operator=(const flow_close_ack& other442) noexcept {
-  token = other442.token;
+flow_close_ack& flow_close_ack::operator=(const flow_close_ack& other446) noexcept {
+  token = other446.token;
   return *this;
 }
-flow_close_ack& flow_close_ack::operator=(flow_close_ack&& other443) noexcept {
-  token = other443.token;
+flow_close_ack& flow_close_ack::operator=(flow_close_ack&& other447) noexcept {
+  token = other447.token;
   return *this;
 }
 void flow_close_ack::printTo(std::ostream& out) const {
@@ -5513,22 +5554,22 @@
   swap(a.token, b.token);
 }
 
-flow_reset::flow_reset(const flow_reset& other444) noexcept {
-  incarnation = other444.incarnation;
-  token = other444.token;
+flow_reset::flow_reset(const flow_reset& other448) noexcept {
+  incarnation = other448.incarnation;
+  token = other448.token;
 }
-flow_reset::flow_reset(flow_reset&& other445) noexcept {
-  incarnation = other445.incarnation;
-  token = other445.token;
+flow_reset::flow_reset(flow_reset&& other449) noexcept {
+  incarnation = other449.incarnation;
+  token = other449.token;
 }
-flow_reset& flow_reset::operator=(const flow_reset& other446) noexcept {
-  incarnation = other446.incarnation;
-  token = other446.token;
+flow_reset& flow_reset::operator=(const flow_reset& other450) noexcept {
+  incarnation = other450.incarnation;
+  token = other450.token;
   return *this;
 }
-flow_reset& flow_reset::operator=(flow_reset&& other447) noexcept {
-  incarnation = other447.incarnation;
-  token = other447.token;
+flow_reset& flow_reset::operator=(flow_reset&& other451) noexcept {
+  incarnation = other451.incarnation;
+  token = other451.token;
   return *this;
 }
 void flow_reset::printTo(std::ostream& out) const {
@@ -5569,26 +5610,26 @@
   swap(a.bytes, b.bytes);
 }
 
-push::push(const push& other448) {
-  token = other448.token;
-  sequence = other448.sequence;
-  bytes = other448.bytes;
+push::push(const push& other452) {
+  token = other452.token;
+  sequence = other452.sequence;
+  bytes = other452.bytes;
 }
-push::push(push&& other449) noexcept {
-  token = other449.token;
-  sequence = other449.sequence;
-  bytes = std::move(other449.bytes);
+push::push(push&& other453) noexcept {
+  token = other453.token;
+  sequence = other453.sequence;
+  bytes = std::move(other453.bytes);
 }
-push& push::operator=(const push& other450) {
-  token = other450.token;
-  sequence = other450.sequence;
-  bytes = other450.bytes;
+push& push::operator=(const push& other454) {
+  token = other454.token;
+  sequence = other454.sequence;
+  bytes = other454.bytes;
   return *this;
 }
-push& push::operator=(push&& other451) noexcept {
-  token = other451.token;
-  sequence = other451.sequence;
-  bytes = std::move(other451.bytes);
+push& push::operator=(push&& other455) noexcept {
+  token = other455.token;
+  sequence = other455.sequence;
+  bytes = std::move(other455.bytes);
   return *this;
 }
 void push::printTo(std::ostream& out) const {
@@ -5625,22 +5666,22 @@
   swap(a.sequence, b.sequence);
 }
 
-push_ack::push_ack(const push_ack& other452) noexcept {
-  token = other452.token;
-  sequence = other452.sequence;
+push_ack::push_ack(const push_ack& other456) noexcept {
+  token = other456.token;
+  sequence = other456.sequence;
 }
-push_ack::push_ack(push_ack&& other453) noexcept {
-  token = other453.token;
-  sequence = other453.sequence;
+push_ack::push_ack(push_ack&& other457) noexcept {
+  token = other457.token;
+  sequence = other457.sequence;
 }
-push_ack& push_ack::operator=(const push_ack& other454) noexcept {
-  token = other454.token;
-  sequence = other454.sequence;
+push_ack& push_ack::operator=(const push_ack& other458) noexcept {
+  token = other458.token;
+  sequence = other458.sequence;
   return *this;
 }
-push_ack& push_ack::operator=(push_ack&& other455) noexcept {
-  token = other455.token;
-  sequence = other455.sequence;
+push_ack& push_ack::operator=(push_ack&& other459) noexcept {
+  token = other459.token;
+  sequence = other459.sequence;
   return *this;
 }
 void push_ack::printTo(std::ostream& out) const {
@@ -5671,18 +5712,18 @@
   swap(a.token, b.token);
 }
 
-flow_keepalive::flow_keepalive(const flow_keepalive& other456) noexcept {
-  token = other456.token;
+flow_keepalive::flow_keepalive(const flow_keepalive& other460) noexcept {
+  token = other460.token;
 }
-flow_keepalive::flow_keepalive(flow_keepalive&& other457) noexcept {
-  token = other457.token;
+flow_keepalive::flow_keepalive(flow_keepalive&& other461) noexcept {
+  token = other461.token;
 }
-flow_keepalive& flow_keepalive::operator=(const flow_keepalive& other458) noexcept {
-  token = other458.token;
+flow_keepalive& flow_keepalive::operator=(const flow_keepalive& other462) noexcept {
+  token = other462.token;
   return *this;
 }
-flow_keepalive& flow_keepalive::operator=(flow_keepalive&& other459) noexcept {
-  token = other459.token;
+flow_keepalive& flow_keepalive::operator=(flow_keepalive&& other463) noexcept {
+  token = other463.token;
   return *this;
 }
 void flow_keepalive::printTo(std::ostream& out) const {
@@ -5712,18 +5753,18 @@
   swap(a.token, b.token);
 }
 
-flow_draining::flow_draining(const flow_draining& other460) noexcept {
-  token = other460.token;
+flow_draining::flow_draining(const flow_draining& other464) noexcept {
+  token = other464.token;
 }
-flow_draining::flow_draining(flow_draining&& other461) noexcept {
-  token = other461.token;
+flow_draining::flow_draining(flow_draining&& other465) noexcept {
+  token = other465.token;
 }
-flow_draining& flow_draining::operator=(const flow_draining& other462) noexcept {
-  token = other462.token;
+flow_draining& flow_draining::operator=(const flow_draining& other466) noexcept {
+  token = other466.token;
   return *this;
 }
-flow_draining& flow_draining::operator=(flow_draining&& other463) noexcept {
-  token = other463.token;
+flow_draining& flow_draining::operator=(flow_draining&& other467) noexcept {
+  token = other467.token;
   return *this;
 }
 void flow_draining::printTo(std::ostream& out) const {
--- a/src/proto/gen/peridotcleat_types.h
+++ b/src/proto/gen/peridotcleat_types.h
@@ -119,6 +119,8 @@
 
 class join_request;
 
+class leave_notice;
+
 class cursor;
 
 class pull_request;
@@ -3357,6 +3359,47 @@
 std::ostream& operator<<(std::ostream& out, const join_request& obj);
 
 
+class leave_notice {
+ public:
+
+  leave_notice(const leave_notice&) noexcept;
+  leave_notice(leave_notice&&) noexcept;
+  leave_notice& operator=(const leave_notice&) noexcept;
+  leave_notice& operator=(leave_notice&&) noexcept;
+  leave_notice() noexcept
+               : folder_id(0) {
+  }
+
+  virtual ~leave_notice() noexcept;
+  int64_t folder_id;
+
+  void __set_folder_id(const int64_t val);
+
+  bool operator == (const leave_notice & rhs) const
+  {
+    if (!(folder_id == rhs.folder_id))
+      return false;
+    return true;
+  }
+  bool operator != (const leave_notice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const leave_notice & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(leave_notice &a, leave_notice &b);
+
+std::ostream& operator<<(std::ostream& out, const leave_notice& obj);
+
+
 class cursor {
  public:
 
--- a/src/proto/gen/peridotcleat_types.tcc
+++ b/src/proto/gen/peridotcleat_types.tcc
@@ -5893,6 +5893,66 @@
   return xfer;
 }
 
+template <class Protocol_>
+uint32_t leave_notice::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_folder_id = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->folder_id);
+          isset_folder_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_folder_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t leave_notice::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("leave_notice");
+
+  xfer += oprot->writeFieldBegin("folder_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->folder_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 template <class Protocol_>
 uint32_t cursor::read(Protocol_* iprot) {
 
@@ -6237,14 +6297,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size324;
-            ::apache::thrift::protocol::TType _etype327;
-            xfer += iprot->readListBegin(_etype327, _size324);
-            this->services.resize(_size324);
-            uint32_t _i328;
-            for (_i328 = 0; _i328 < _size324; ++_i328)
+            uint32_t _size328;
+            ::apache::thrift::protocol::TType _etype331;
+            xfer += iprot->readListBegin(_etype331, _size328);
+            this->services.resize(_size328);
+            uint32_t _i332;
+            for (_i332 = 0; _i332 < _size328; ++_i332)
             {
-              xfer += this->services[_i328].read(iprot);
+              xfer += this->services[_i332].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6257,14 +6317,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size329;
-            ::apache::thrift::protocol::TType _etype332;
-            xfer += iprot->readListBegin(_etype332, _size329);
-            this->targets.resize(_size329);
-            uint32_t _i333;
-            for (_i333 = 0; _i333 < _size329; ++_i333)
+            uint32_t _size333;
+            ::apache::thrift::protocol::TType _etype336;
+            xfer += iprot->readListBegin(_etype336, _size333);
+            this->targets.resize(_size333);
+            uint32_t _i337;
+            for (_i337 = 0; _i337 < _size333; ++_i337)
             {
-              xfer += this->targets[_i333].read(iprot);
+              xfer += this->targets[_i337].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6277,14 +6337,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size334;
-            ::apache::thrift::protocol::TType _etype337;
-            xfer += iprot->readListBegin(_etype337, _size334);
-            this->nodes.resize(_size334);
-            uint32_t _i338;
-            for (_i338 = 0; _i338 < _size334; ++_i338)
+            uint32_t _size338;
+            ::apache::thrift::protocol::TType _etype341;
+            xfer += iprot->readListBegin(_etype341, _size338);
+            this->nodes.resize(_size338);
+            uint32_t _i342;
+            for (_i342 = 0; _i342 < _size338; ++_i342)
             {
-              xfer += this->nodes[_i338].read(iprot);
+              xfer += this->nodes[_i342].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6297,14 +6357,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tombstones.clear();
-            uint32_t _size339;
-            ::apache::thrift::protocol::TType _etype342;
-            xfer += iprot->readListBegin(_etype342, _size339);
-            this->tombstones.resize(_size339);
-            uint32_t _i343;
-            for (_i343 = 0; _i343 < _size339; ++_i343)
+            uint32_t _size343;
+            ::apache::thrift::protocol::TType _etype346;
+            xfer += iprot->readListBegin(_etype346, _size343);
+            this->tombstones.resize(_size343);
+            uint32_t _i347;
+            for (_i347 = 0; _i347 < _size343; ++_i347)
             {
-              xfer += this->tombstones[_i343].read(iprot);
+              xfer += this->tombstones[_i347].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6317,14 +6377,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size344;
-            ::apache::thrift::protocol::TType _etype347;
-            xfer += iprot->readListBegin(_etype347, _size344);
-            this->routes.resize(_size344);
-            uint32_t _i348;
-            for (_i348 = 0; _i348 < _size344; ++_i348)
+            uint32_t _size348;
+            ::apache::thrift::protocol::TType _etype351;
+            xfer += iprot->readListBegin(_etype351, _size348);
+            this->routes.resize(_size348);
+            uint32_t _i352;
+            for (_i352 = 0; _i352 < _size348; ++_i352)
             {
-              xfer += this->routes[_i348].read(iprot);
+              xfer += this->routes[_i352].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6412,10 +6472,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<service_entry> ::const_iterator _iter349;
-    for (_iter349 = this->services.begin(); _iter349 != this->services.end(); ++_iter349)
+    std::vector<service_entry> ::const_iterator _iter353;
+    for (_iter353 = this->services.begin(); _iter353 != this->services.end(); ++_iter353)
     {
-      xfer += (*_iter349).write(oprot);
+      xfer += (*_iter353).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6424,10 +6484,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<target> ::const_iterator _iter350;
-    for (_iter350 = this->targets.begin(); _iter350 != this->targets.end(); ++_iter350)
+    std::vector<target> ::const_iterator _iter354;
+    for (_iter354 = this->targets.begin(); _iter354 != this->targets.end(); ++_iter354)
     {
-      xfer += (*_iter350).write(oprot);
+      xfer += (*_iter354).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6436,10 +6496,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<node> ::const_iterator _iter351;
-    for (_iter351 = this->nodes.begin(); _iter351 != this->nodes.end(); ++_iter351)
+    std::vector<node> ::const_iterator _iter355;
+    for (_iter355 = this->nodes.begin(); _iter355 != this->nodes.end(); ++_iter355)
     {
-      xfer += (*_iter351).write(oprot);
+      xfer += (*_iter355).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6448,10 +6508,10 @@
   xfer += oprot->writeFieldBegin("tombstones", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tombstones.size()));
-    std::vector<tombstone> ::const_iterator _iter352;
-    for (_iter352 = this->tombstones.begin(); _iter352 != this->tombstones.end(); ++_iter352)
+    std::vector<tombstone> ::const_iterator _iter356;
+    for (_iter356 = this->tombstones.begin(); _iter356 != this->tombstones.end(); ++_iter356)
     {
-      xfer += (*_iter352).write(oprot);
+      xfer += (*_iter356).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6461,10 +6521,10 @@
     xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-      std::vector<route_entry> ::const_iterator _iter353;
-      for (_iter353 = this->routes.begin(); _iter353 != this->routes.end(); ++_iter353)
+      std::vector<route_entry> ::const_iterator _iter357;
+      for (_iter357 = this->routes.begin(); _iter357 != this->routes.end(); ++_iter357)
       {
-        xfer += (*_iter353).write(oprot);
+        xfer += (*_iter357).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6541,14 +6601,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parents.clear();
-            uint32_t _size358;
-            ::apache::thrift::protocol::TType _etype361;
-            xfer += iprot->readListBegin(_etype361, _size358);
-            this->parents.resize(_size358);
-            uint32_t _i362;
-            for (_i362 = 0; _i362 < _size358; ++_i362)
+            uint32_t _size362;
+            ::apache::thrift::protocol::TType _etype365;
+            xfer += iprot->readListBegin(_etype365, _size362);
+            this->parents.resize(_size362);
+            uint32_t _i366;
+            for (_i366 = 0; _i366 < _size362; ++_i366)
             {
-              xfer += this->parents[_i362].read(iprot);
+              xfer += this->parents[_i366].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6626,10 +6686,10 @@
     xfer += oprot->writeFieldBegin("parents", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parents.size()));
-      std::vector<endpoint> ::const_iterator _iter363;
-      for (_iter363 = this->parents.begin(); _iter363 != this->parents.end(); ++_iter363)
+      std::vector<endpoint> ::const_iterator _iter367;
+      for (_iter367 = this->parents.begin(); _iter367 != this->parents.end(); ++_iter367)
       {
-        xfer += (*_iter363).write(oprot);
+        xfer += (*_iter367).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7194,14 +7254,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->children.clear();
-            uint32_t _size384;
-            ::apache::thrift::protocol::TType _etype387;
-            xfer += iprot->readListBegin(_etype387, _size384);
-            this->children.resize(_size384);
-            uint32_t _i388;
-            for (_i388 = 0; _i388 < _size384; ++_i388)
+            uint32_t _size388;
+            ::apache::thrift::protocol::TType _etype391;
+            xfer += iprot->readListBegin(_etype391, _size388);
+            this->children.resize(_size388);
+            uint32_t _i392;
+            for (_i392 = 0; _i392 < _size388; ++_i392)
             {
-              xfer += this->children[_i388].read(iprot);
+              xfer += this->children[_i392].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7277,10 +7337,10 @@
   xfer += oprot->writeFieldBegin("children", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->children.size()));
-    std::vector<child_report> ::const_iterator _iter389;
-    for (_iter389 = this->children.begin(); _iter389 != this->children.end(); ++_iter389)
+    std::vector<child_report> ::const_iterator _iter393;
+    for (_iter393 = this->children.begin(); _iter393 != this->children.end(); ++_iter393)
     {
-      xfer += (*_iter389).write(oprot);
+      xfer += (*_iter393).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8079,14 +8139,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size422;
-            ::apache::thrift::protocol::TType _etype425;
-            xfer += iprot->readListBegin(_etype425, _size422);
-            this->missing.resize(_size422);
-            uint32_t _i426;
-            for (_i426 = 0; _i426 < _size422; ++_i426)
+            uint32_t _size426;
+            ::apache::thrift::protocol::TType _etype429;
+            xfer += iprot->readListBegin(_etype429, _size426);
+            this->missing.resize(_size426);
+            uint32_t _i430;
+            for (_i430 = 0; _i430 < _size426; ++_i430)
             {
-              xfer += iprot->readI32(this->missing[_i426]);
+              xfer += iprot->readI32(this->missing[_i430]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8130,10 +8190,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->missing.size()));
-    std::vector<int32_t> ::const_iterator _iter427;
-    for (_iter427 = this->missing.begin(); _iter427 != this->missing.end(); ++_iter427)
+    std::vector<int32_t> ::const_iterator _iter431;
+    for (_iter431 = this->missing.begin(); _iter431 != this->missing.end(); ++_iter431)
     {
-      xfer += oprot->writeI32((*_iter427));
+      xfer += oprot->writeI32((*_iter431));
     }
     xfer += oprot->writeListEnd();
   }
--- a/src/proto/peridotcleat.thrift
+++ b/src/proto/peridotcleat.thrift
@@ -428,6 +428,11 @@
   2: required i64 replaces      // the candidate's folder id if that folder is or was a member, 0 for a new folder
 }
 
+// Sent to the leader by a control process that is about to stop, so that a standby member takes its vote.
+struct leave_notice {
+  1: required i64 folder_id
+}
+
 // Position in a difference: objects are ordered by (revision, kind, id).
 struct cursor {
   1: required i64 revision
--- a/src/testing/loss_run.h
+++ b/src/testing/loss_run.h
@@ -34,8 +34,8 @@
     slow_sync,
     /// The member is removed permanently, and an empty one comes at another address later.
     replacement,
-    /// As `replacement`, but the empty member has run for `catch_up_time` before. The removed member counts
-    /// as lost for `planned_loss_time`.
+    /// As `replacement`, but the empty member has run for `catch_up_time` before, and the other one is
+    /// stopped as planned. No member counts as lost.
     planned_replacement,
     /// All members are cut into two halves for some seconds.
     split,
@@ -53,7 +53,7 @@
           kinds_(std::move(kinds)), tolerance_(tolerance)
     {
         for (auto& h : group_.hosts) {
-            slots_.push_back({&h, {}, {}, tolerance_.catch_up_time});
+            slots_.push_back({&h, {}, {}});
         }
         link_quality q;
         q.delay = one_ms * (1 + random_below(6));
@@ -98,14 +98,11 @@
         // The member's fault ends, and its process or that of its successor runs again, at this time.
         time_point back_at;
         std::optional<time_point> start_at;
-        // The member counts as lost until this time after `back_at`.
-        std::chrono::milliseconds lost_after_return;
     };
 
-    // A member without a vote that runs already and replaces another one later.
-    struct spare {
+    struct member_since {
         replica_group::host* member;
-        time_point started_at;
+        time_point since;
     };
 
     static constexpr std::chrono::milliseconds one_ms{1};
@@ -114,15 +111,16 @@
     static constexpr std::chrono::milliseconds acceptance_limit{8000};
     // A process that has ended is started again after this time.
     static constexpr std::chrono::milliseconds restart_delay{600};
-    static constexpr std::chrono::milliseconds planned_loss_time{2000};
-    static constexpr std::size_t max_spares = 2;
+    // A process that is stopped as planned is killed after this time.
+    static constexpr std::chrono::milliseconds grace_period{6000};
+    static constexpr std::size_t max_spares = 5;
 
     std::uint64_t random_below(std::uint64_t n) { return group_.net.random()() % n; }
     bool one_in(std::uint64_t n) { return random_below(n) == 0; }
 
     [[nodiscard]] bool is_lost(const slot& s) const
     {
-        return s.back_at != time_point{} && group_.net.now() < s.back_at + s.lost_after_return;
+        return s.back_at != time_point{} && group_.net.now() < s.back_at + tolerance_.catch_up_time;
     }
 
     [[nodiscard]] std::size_t lost_members() const
@@ -144,10 +142,13 @@
     void inject()
     {
         slot& s = pick_slot();
-        if (s.back_at > group_.net.now() || lost_members() - (is_lost(s) ? 1 : 0) >= tolerance_.losses) {
+        const loss kind = kinds_[random_below(kinds_.size())];
+        const bool counts_as_loss = kind != loss::split && kind != loss::planned_replacement;
+        const auto others_lost = lost_members() - (is_lost(s) ? 1 : 0);
+        if (s.back_at > group_.net.now() || !s.member->process ||
+            (counts_as_loss && others_lost >= tolerance_.losses)) {
             return;
         }
-        const loss kind = kinds_[random_below(kinds_.size())];
         const std::chrono::milliseconds duration(500 + random_below(5000));
         if (kind == loss::planned_replacement && !spare_ready()) {
             start_spare();
@@ -169,10 +170,13 @@
             split(duration);
             return;
         }
+        if (kind == loss::planned_replacement) {
+            stop_as_planned(s);
+            return;
+        }
         auto& h = *s.member;
         const time_point now = group_.net.now();
         s.back_at = now + duration;
-        s.lost_after_return = tolerance_.catch_up_time;
         switch (kind) {
         case loss::disk:
             group_.kill(h, false);
@@ -210,12 +214,6 @@
             s.start_at = s.back_at;
             break;
         case loss::planned_replacement:
-            group_.remove_permanently(h);
-            s.member = spares_.front().member;
-            s.back_at = now;
-            s.lost_after_return = planned_loss_time;
-            spares_.erase(spares_.begin());
-            break;
         case loss::split: break;
         }
         if (split_until_ > now) {
@@ -246,6 +244,15 @@
         });
     }
 
+    void stop_as_planned(slot& s)
+    {
+        s.member->process->begin_leave(group_.net.now());
+        stopping_.push_back({s.member, group_.net.now()});
+        s.member = spares_.front().member;
+        s.back_at = time_point{};
+        spares_.erase(spares_.begin());
+    }
+
     void update_links()
     {
         group_.net.heal_all();
@@ -277,7 +284,7 @@
 
     [[nodiscard]] bool spare_ready() const
     {
-        return !spares_.empty() && spares_.front().started_at + tolerance_.catch_up_time <= group_.net.now();
+        return !spares_.empty() && spares_.front().since + tolerance_.catch_up_time <= group_.net.now();
     }
 
     void start_spare()
@@ -290,6 +297,18 @@
         }
     }
 
+    void end_stopping_processes()
+    {
+        std::erase_if(stopping_, [&](const member_since& m) {
+            const bool ends =
+                m.member->process->may_stop(group_.net.now()) || group_.net.now() >= m.since + grace_period;
+            if (ends) {
+                group_.remove_permanently(*m.member);
+            }
+            return ends;
+        });
+    }
+
     // Starts the processes whose time has come, and those that have ended by themselves.
     void start_processes()
     {
@@ -313,6 +332,7 @@
         const time_point until = group_.net.now() + duration;
         while (group_.net.now() < until) {
             group_.net.run_for(one_ms * 50);
+            end_stopping_processes();
             start_processes();
             if (auto* l = group_.leader(); l != nullptr && one_in(4)) {
                 group_.propose(*l, std::string(one_in(20) ? 2 * max_entry_data + 1000 : 40, '.'));
@@ -358,7 +378,10 @@
     std::vector<loss> kinds_;
     loss_tolerance tolerance_;
     std::vector<slot> slots_;
-    std::vector<spare> spares_;
+    // Members that run already and replace others later, and the times of their starts.
+    std::vector<member_since> spares_;
+    // Members that are being stopped.
+    std::vector<member_since> stopping_;
     std::set<endpoint> cut_off_;
     std::set<endpoint> far_half_;
     time_point split_until_;
--- a/src/testing/replica_group.h
+++ b/src/testing/replica_group.h
@@ -126,6 +126,7 @@
         s.initial_members = initial_members;
         s.voter_count = voter_count_;
         s.timing = timing_;
+        s.leave_limit = leave_limit;
         s.seed = net.random()();
         ++h.starts;
         auto opened = replica<fake_disk>::open(s, fake_disk(h.disk), net.now());
@@ -278,6 +279,8 @@
     // A deque, because references to hosts stay valid when one is added.
     std::deque<host> hosts;
     std::vector<wire::member> initial_members;
+    // Nine tenths of the time after which the platform kills a process that it stops.
+    std::chrono::milliseconds leave_limit{5400};
     std::size_t snapshot_every = 40;
     std::size_t snapshot_padding = 3000;
     bool reads_enabled = true;
