Test control at random with standby processes and permanent replacements

The second run of the same faults has 3 to 7 control processes, of which three form the cluster and three or five vote; processes lose their disks or are replaced, two at once where five vote, and balancers discover their parents. At the end all processes that run, and no others, must be members, and enough of them must vote; this check also holds for the run without standby processes.

--- a/src/libperidotcleat/version/control_test.cpp
+++ b/src/libperidotcleat/version/control_test.cpp
@@ -241,11 +241,7 @@
     EXPECT_EQ(confirmed.size(), 1U);
 }
 
-// Guards against accepted versions that are lost, changed or reverted, answers to operators that turn out to
-// be wrong, tables that differ at the same revision, and membership that does not converge, under all faults
-// of the failure model: restarts, freezes, partitions, lost disks, lost and duplicated datagrams and skewed
-// clocks.
-TEST(control, invariants_hold_under_faults)
+void run_under_faults(testing::control_run::voting voting)
 {
     const std::uint64_t first = from_environment("PERIDOTCLEAT_FIRST_SEED", 1);
     const std::uint64_t count = from_environment("PERIDOTCLEAT_SEEDS", 2);
@@ -258,7 +254,7 @@
                                           {event::digest_mismatches, 0}, {event::full_tables_sent, 0},
                                           {event::leader_step_downs, 0}};
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        testing::control_run run(seed);
+        testing::control_run run(seed, voting);
         try {
             run.run();
         } catch (const std::exception& e) {
@@ -284,5 +280,18 @@
     EXPECT_GT(accepted, count);
 }
 
+// Guards against accepted versions that are lost, changed or reverted, answers to operators that turn out to
+// be wrong, tables that differ at the same revision, and membership that does not converge, under all faults
+// of the failure model: restarts, freezes, partitions, lost disks, lost and duplicated datagrams and skewed
+// clocks.
+TEST(control, invariants_hold_under_faults) { run_under_faults(testing::control_run::voting::all); }
+
+// Guards against the same failures if some control processes are on standby and take the votes of others, and
+// against a cluster that stands still after processes were replaced permanently.
+TEST(control, invariants_hold_under_faults_with_standby_processes)
+{
+    run_under_faults(testing::control_run::voting::some);
+}
+
 }  // namespace
 }  // namespace peridotcleat
--- a/src/libperidotcleat/version/replica_loss_test.cpp
+++ b/src/libperidotcleat/version/replica_loss_test.cpp
@@ -226,6 +226,45 @@
     expect_votes_of_running_members_only();
 }
 
+// Guards against voters that were only cut off, and have lost their votes meanwhile, but elect a leader of
+// their own once they are a majority of the voters that they know.
+TEST_F(permanent_loss, voters_that_were_cut_off_in_turn_never_form_a_second_majority)
+{
+    std::vector<endpoint> rest;
+    for (const auto& h : group_.hosts) {
+        rest.push_back(h.address);
+    }
+    std::vector<endpoint> cut_off;
+    std::vector<replica_group::host*> former_voters;
+    for (auto& h : group_.hosts) {
+        if (has_vote(h) && former_voters.size() < 4) {
+            former_voters.push_back(&h);
+        }
+    }
+    for (auto* h : former_voters) {
+        std::erase(rest, h->address);
+        cut_off.push_back(h->address);
+        group_.net.heal_all();
+        group_.net.cut_groups(cut_off, rest, true);
+        if (cut_off.size() % 2 == 0) {
+            group_.net.run_for(4s);
+        }
+    }
+    for (int i = 0; i < 200; ++i) {
+        group_.net.run_for(50ms);
+        for (const auto* h : former_voters) {
+            ASSERT_FALSE(h->process->is_leader()) << group_.describe();
+        }
+    }
+    const auto position = group_.propose(*leader(), "by the majority");
+    ASSERT_TRUE(position);
+    group_.net.heal_all();
+    group_.net.run_for(6s);
+    for (const auto* h : former_voters) {
+        EXPECT_GE(h->process->commit_index(), position->index) << group_.describe();
+    }
+}
+
 class permanent_loss_of_three : public permanent_loss {
 protected:
     permanent_loss_of_three() : permanent_loss({3, 3, 3}) {}
--- a/src/testing/control_cluster.h
+++ b/src/testing/control_cluster.h
@@ -23,6 +23,10 @@
 /// Size and settings of a simulated cluster. The simulated processes are spread evenly over the zones.
 struct cluster_shape {
     std::size_t controls = 3;
+    /// Control processes that form the cluster, and those that vote. 0: all form it and vote. The others join
+    /// from the addresses of the first ones and are on standby.
+    std::size_t initial_controls = 0;
+    std::size_t voters = 0;
     std::size_t balancers = 4;
     std::size_t agents = 8;
     std::size_t services = 2;
@@ -95,10 +99,7 @@
     {
         net_.set_tick_period(shape.tick);
         for (std::size_t i = 0; i < shape.controls; ++i) {
-            auto& process = *controls_.emplace_back(std::make_unique<control_process>());
-            process.address = address(0, i);
-            process.name = "control-" + std::to_string(i);
-            process.disk = std::make_shared<fake_disk_content>(cluster_id{1}, process.name, seed_random_());
+            controls_.push_back(make_control());
         }
         for (std::size_t i = 0; i < shape.balancers; ++i) {
             add_node(address(1, i), "balancer-" + std::to_string(i), i, node_role::balancer);
@@ -130,12 +131,15 @@
         settings.replica.name = process.name;
         settings.replica.address = process.address;
         settings.replica.bootstrap = bootstrap;
+        settings.replica.voter_count = shape_.voters;
         settings.replica.seed = seed_random_();
-        for (const auto& other : controls_) {
-            settings.replica.peers.push_back(other->address);
+        const std::size_t initial = shape_.initial_controls == 0 ? controls_.size() : shape_.initial_controls;
+        for (std::size_t n = 0; n < initial; ++n) {
+            const control_process& other = *controls_[n];
+            settings.replica.peers.push_back(other.address);
             wire::member m;
-            m.name = other->name;
-            m.address = to_wire(other->address);
+            m.name = other.name;
+            m.address = to_wire(other.address);
             m.voter = true;
             settings.replica.initial_members.push_back(m);
         }
@@ -166,6 +170,14 @@
         controls_[i]->role.reset();
         controls_[i]->disk->crash();
     }
+    /// Removes a control process and its disk for good. A process with an empty disk at another address takes
+    /// its place; it runs once `start_control` is called.
+    void replace_control(std::size_t i)
+    {
+        net_.remove(controls_[i]->address);
+        controls_[i] = make_control();
+    }
+
     void start_node(node_process& node)
     {
         node_link_settings settings;
@@ -178,6 +190,7 @@
             for (const auto& process : controls_) {
                 settings.parents.push_back(process->address);
             }
+            settings.discover_parents = shape_.voters != 0;
             node.node_relay = std::make_unique<relay>(relay_limits::of_balancer(), node.counted);
         } else {
             for (const auto& balancer : nodes_) {
@@ -211,7 +224,7 @@
     void start_all()
     {
         for (std::size_t i = 0; i < controls_.size(); ++i) {
-            start_control(i, true);
+            start_control(i, shape_.initial_controls == 0 || i < shape_.initial_controls);
         }
         for (auto& node : nodes_) {
             start_node(*node);
@@ -264,6 +277,16 @@
     std::function<void(control_process&)> on_control_event;
 
 private:
+    std::unique_ptr<control_process> make_control()
+    {
+        auto process = std::make_unique<control_process>();
+        const std::size_t number = next_control_++;
+        process->address = address(0, number);
+        process->name = "control-" + std::to_string(number);
+        process->disk = std::make_shared<fake_disk_content>(cluster_id{1}, process->name, seed_random_());
+        return process;
+    }
+
     node_process& add_node(const endpoint& address, std::string name, std::size_t i, node_role kind)
     {
         auto& node = *nodes_.emplace_back(std::make_unique<node_process>());
@@ -318,6 +341,7 @@
     std::mt19937_64 seed_random_;
     bool measures_processor_time_ = false;
     std::vector<std::unique_ptr<control_process>> controls_;
+    std::size_t next_control_ = 0;
     std::vector<std::unique_ptr<node_process>> nodes_;
 };
 
--- a/src/testing/control_run.h
+++ b/src/testing/control_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -19,8 +20,15 @@
 /// must converge. Throws `control_violation`.
 class control_run {
 public:
-    explicit control_run(std::uint64_t seed)
-        : random_(seed ^ 0x5eedU), cluster_(seed, random_shape()), operators_(3)
+    /// Which control processes vote.
+    enum class voting : std::uint8_t {
+        all,
+        /// Three or five. The others are on standby, and processes are also replaced permanently.
+        some,
+    };
+
+    explicit control_run(std::uint64_t seed, voting v = voting::all)
+        : random_(seed ^ 0x5eedU), cluster_(seed, random_shape(v)), operators_(3)
     {
         cluster_.net().set_quality([this, loss = static_cast<double>(random_below(5)) * 0.01,
                                     duplication = static_cast<double>(random_below(3)) *
@@ -102,10 +110,14 @@
     std::size_t random_below(std::size_t bound) { return random_() % bound; }
     bool chance(std::size_t percent) { return random_below(100) < percent; }
 
-    cluster_shape random_shape()
+    cluster_shape random_shape(voting v)
     {
         cluster_shape shape;
         shape.controls = 3 + random_below(5);
+        if (v == voting::some) {
+            shape.initial_controls = 3;
+            shape.voters = shape.controls > 5 ? 3 + (2 * random_below(2)) : 3;
+        }
         shape.balancers = 2 + random_below(4);
         shape.zones = std::min<std::size_t>(shape.balancers, 2 + random_below(2));
         shape.agents = 4 + random_below(7);
@@ -125,9 +137,11 @@
         }
     }
 
-    [[nodiscard]] static std::size_t index_of(const control_process& process)
+    [[nodiscard]] std::size_t index_of(const control_process& process)
     {
-        return (process.address.address & 0xffffU) - 1;
+        const auto& all = cluster_.controls();
+        return static_cast<std::size_t>(
+            std::ranges::find_if(all, [&](const auto& p) { return p.get() == &process; }) - all.begin());
     }
 
     void observe_control(control_process& process)
@@ -251,7 +265,7 @@
         case 6: cut_at_random(); break;
         case 7:
         case 8: net.heal_all(); break;
-        case 9: wipe_disk(process_index); break;
+        case 9: lose_disk(process_index); break;
         case 10:
             if (node.link) {
                 node.link->set_state(chance(50) ? node_state::draining : node_state::leaving);
@@ -293,25 +307,61 @@
         }
     }
 
-    // Wipes a disk and restarts its process, but only if the previous loss is repaired: all processes run,
-    // and each of them counts all disks' folders as voters.
-    void wipe_disk(std::size_t i)
+    // Returns true if `members` has the folders of all disks and as many voters as the settings require.
+    [[nodiscard]] bool is_complete(const std::vector<wire::member>& members)
     {
-        for (const auto& process : cluster_.controls()) {
-            if (!process->role || !cluster_.net().is_alive(process->address)) {
+        const auto voters = static_cast<std::size_t>(std::ranges::count_if(members, &wire::member::voter));
+        const std::size_t required = cluster_.shape().voters;
+        return voters >= (required == 0 ? cluster_.controls().size() : required) &&
+               members.size() == cluster_.controls().size() &&
+               std::ranges::all_of(cluster_.controls(), [&](const auto& process) {
+                   return std::ranges::any_of(members, [&](const wire::member& m) {
+                       return m.folder_id == process->disk->folder();
+                   });
+               });
+    }
+
+    // Returns true if each running balancer knows a control process besides process `i`. A balancer that is
+    // cut off while all processes that it knows are replaced cannot find their successors.
+    [[nodiscard]] bool other_processes_known(std::size_t i)
+    {
+        const auto knows_other = [&](const node_process& node) {
+            const auto known = node.link->parents();
+            return std::ranges::any_of(cluster_.controls(), [&](const auto& process) {
+                return process != cluster_.controls()[i] && std::ranges::count(known, process->address) > 0;
+            });
+        };
+        return std::ranges::all_of(cluster_.nodes(), [&](const auto& node) {
+            return !node->link || node->kind != node_role::balancer || knows_other(*node);
+        });
+    }
+
+    // Wipes the disk of process `i` and restarts it, or replaces the process, but only if the previous loss
+    // is repaired: all processes run and know a complete list of members. A group with five voters of more
+    // members may lose two processes at once.
+    void lose_disk(std::size_t i)
+    {
+        const auto& controls = cluster_.controls();
+        for (const auto& process : controls) {
+            if (!process->role || !cluster_.net().is_alive(process->address) ||
+                !is_complete(process->role->log().members())) {
                 return;
             }
-            const auto& members = process->role->log().members();
-            for (const auto& other : cluster_.controls()) {
-                if (std::ranges::none_of(members, [&](const wire::member& m) {
-                        return m.voter && m.folder_id == other->disk->folder();
-                    })) {
-                    return;
-                }
-            }
         }
-        cluster_.kill_control(i);
-        cluster_.controls()[i]->disk->wipe();
+        lose_disk_now(i);
+        if (cluster_.shape().voters == 5 && chance(50)) {
+            lose_disk_now((i + 1 + random_below(controls.size() - 1)) % controls.size());
+        }
+    }
+
+    void lose_disk_now(std::size_t i)
+    {
+        if (cluster_.shape().voters != 0 && chance(60) && other_processes_known(i)) {
+            cluster_.replace_control(i);
+        } else {
+            cluster_.kill_control(i);
+            cluster_.controls()[i]->disk->wipe();
+        }
         start_control(i);
     }
 
@@ -383,6 +433,9 @@
         control_process& leader = require_leader();
         const table_state& table = leader.role->table();
         checker_.check_accepted_versions(table);
+        const auto& members = leader.role->log().members();
+        control_checker::require(is_complete(members), "a lost process is still a member, or too few vote",
+                                 static_cast<std::int64_t>(members.size()));
         for (const auto& node : cluster_.nodes()) {
             const bool has_service =
                 node->kind == node_role::balancer || table.find_service(node->service).has_value();
