--- a/src/libperidotcleat/version/replica_append.cpp
+++ b/src/libperidotcleat/version/replica_append.cpp
@@ -310,8 +310,8 @@
     r.commit = commit_index_;
     r.round = round_;
     r.quorum_age_ms = to_wire_ms(quorum_age(now));
-    if (auto silent = report_silent_members(now); !silent.empty()) {
-        r.__set_silent_members(std::move(silent));
+    if (const auto silent = report_silent_members(now); !silent.empty()) {
+        r.__set_silent_members(silent);
     }
     std::size_t size = append_overhead + silent_member_size * r.silent_members.size();
     while (p.next_index <= log_.last_index() && window_open(p)) {
