--- a/src/testing/control_run.h
+++ b/src/testing/control_run.h
@@ -321,21 +321,6 @@
                });
     }
 
-    // Returns true if each running balancer knows a control process besides process `i`. A balancer that is
-    // cut off while all processes that it knows are replaced cannot find their successors.
-    [[nodiscard]] bool other_processes_known(std::size_t i)
-    {
-        const auto knows_other = [&](const node_process& node) {
-            const auto known = node.link->parents();
-            return std::ranges::any_of(cluster_.controls(), [&](const auto& process) {
-                return process != cluster_.controls()[i] && std::ranges::count(known, process->address) > 0;
-            });
-        };
-        return std::ranges::all_of(cluster_.nodes(), [&](const auto& node) {
-            return !node->link || node->kind != node_role::balancer || knows_other(*node);
-        });
-    }
-
     // Wipes the disk of process `i` and restarts it, or replaces the process, but only if the previous loss
     // is repaired: all processes run and know a complete list of members. A group with five voters of more
     // members may lose two processes at once.
@@ -356,7 +341,7 @@
 
     void lose_disk_now(std::size_t i)
     {
-        if (cluster_.shape().voters != 0 && chance(60) && other_processes_known(i)) {
+        if (cluster_.shape().voters != 0 && chance(60)) {
             cluster_.replace_control(i);
         } else {
             cluster_.kill_control(i);
