--- a/review/traffic3.py
+++ b/review/traffic3.py
@@ -86,7 +86,14 @@
             elif flags & FIN:
                 self.send(pack(ACK, destination, source, flow["next"], seq + 1))
             return
-        if data and seq == flow["peer"] & MASK:
+        if data and flow["fin"]:
+            # The target has closed its side. It reads on, without running anything, until the consumer closes too
+            # (RFC 9112, 9.6), so that the consumer does not lose what it has not read yet.
+            flow["peer"] = max(flow["peer"], seq + len(data))
+            self.send(pack(ACK, destination, source, flow["next"], flow["peer"]))
+            if not flags & FIN:
+                return
+        elif data and seq == flow["peer"] & MASK:
             flow["peer"] += len(data)
             self.world.log(("ran", self.host, source, destination, data))
             answer = b"200 " + data
@@ -245,7 +252,7 @@
     def open(self, now, on_open=None):
         self.next_port += 1
         flow = {"port": self.next_port, "state": "opening", "seq": random.getrandbits(32), "started": now,
-                "source": (self.host, self.next_port), "copies": 0, "on_open": on_open, "pending": None}
+                "source": (self.host, self.next_port), "copies": 0, "on_open": on_open, "pending": None, "received": False}
         self.flows[self.next_port] = flow
         self.send_syn(flow)
         for n, delay in enumerate(self.RESENDS):
@@ -310,6 +317,11 @@
                 if flow["on_open"]:
                     flow["on_open"](now, flow)
         elif flow["state"] in ("open", "half"):
+            if flow["state"] == "half" and flow["pending"] is not None and not data and \
+                    ack == (flow["next"] + len(flow["pending"])) & MASK:
+                flow["next"] += len(flow["pending"])
+                flow["pending"] = None
+                flow["received"] = True
             if data and seq == flow["ack"] & MASK:
                 flow["ack"] += len(data)
                 if flow["pending"] is not None:
