--- a/review/platform3.py
+++ b/review/platform3.py
@@ -10,9 +10,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MESSAGE, HTTP, DATA, OUTBOUND, APP, READY = "message", "http", "data", "outbound", "app", "ready"
@@ -45,6 +47,17 @@
     return {m[1]: m[2] for m in re.finditer(r'\[roles\.(\w+)\]\s*run = "([^"]+)"', text)}
 
 
+def run_case(main):
+    """Ends with 2 if the case could not run: after an error of its own, or when it is stopped."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        result = main()
+    except Exception:
+        traceback.print_exc()
+        result = 2
+    sys.exit(result)
+
+
 class Record:
     def __init__(self, path):
         self.file, self.start, self.lock = open(path, "w"), time.monotonic(), threading.Lock()
--- a/review/traffic3.py
+++ b/review/traffic3.py
@@ -5,6 +5,7 @@
 import multiprocessing
 import random
 import selectors
+import signal
 import socket
 import struct
 import threading
@@ -166,6 +167,7 @@
                 time.sleep(0.02)
 
     def run(self):
+        signal.signal(signal.SIGTERM, signal.SIG_DFL)
         self.timers, self.buffer = [], []
         targets = {host: Target(self, host, service, slots) for host, service, slots in self.specs}
         selector = selectors.DefaultSelector()
